--- /dev/null
+++ b/tests/hawthornstall/core/error_test.cpp
@@ -0,0 +1,34 @@
+#include "hawthornstall/core/error.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <string_view>
+
+namespace hawthornstall::core {
+namespace {
+
+struct error_case {
+    error_origin origin;
+    std::string_view described;
+};
+
+// Guards against errors that reach an operator without the step and the peer.
+TEST_CASE("errors carry step and peer") {
+    constexpr std::array cases{
+        error_case{{.step = "dispatch", .peer = "minion-7"},
+                   "UNAVAILABLE: connection refused (step dispatch, peer minion-7)"},
+        error_case{{.step = "load_settings", .peer = ""},
+                   "UNAVAILABLE: connection refused (step load_settings)"},
+    };
+    for (const auto& test : cases) {
+        const auto status =
+            make_error(absl::StatusCode::kUnavailable, test.origin, "connection refused");
+        CHECK(describe(status) == test.described);
+        CHECK(step_of(status) == test.origin.step);
+        CHECK(peer_of(status) == test.origin.peer);
+    }
+}
+
+} // namespace
+} // namespace hawthornstall::core
--- /dev/null
+++ b/tests/hawthornstall/runtime/loop_task_test.cpp
@@ -0,0 +1,79 @@
+#include "hawthornstall/runtime/loop_task.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <cstddef>
+#include <future>
+#include <thread>
+#include <vector>
+
+namespace hawthornstall::runtime {
+namespace {
+
+/// Counts messages and reports once the expected number has arrived.
+class counting_logic {
+public:
+    using message = std::size_t;
+
+    counting_logic(std::size_t expected, std::promise<std::size_t> done)
+        : expected_(expected), done_(std::move(done)) {}
+
+    void attach(event_loop& /*loop*/) {}
+
+    void handle(std::size_t value) {
+        sum_ += value;
+        if (++received_ == expected_) {
+            done_.set_value(sum_);
+        }
+    }
+
+private:
+    std::size_t expected_;
+    std::promise<std::size_t> done_;
+    std::size_t received_ = 0;
+    std::size_t sum_ = 0;
+};
+
+struct sender_case {
+    std::size_t senders;
+    std::size_t messages_each;
+};
+
+// Guards against lost wake-ups: a message that is queued while the receiver drains the mailbox.
+TEST_CASE("every posted message is delivered once") {
+    constexpr std::array cases{sender_case{1, 1}, sender_case{1, 10'000}, sender_case{4, 5'000}};
+    for (const auto& test : cases) {
+        const std::size_t total = test.senders * test.messages_each;
+        std::promise<std::size_t> done;
+        auto sum = done.get_future();
+        auto inbox = make_mailbox<std::size_t>(total);
+        loop_task<counting_logic> task{inbox, total, std::move(done)};
+        std::vector<std::thread> senders;
+        for (std::size_t sender = 0; sender < test.senders; ++sender) {
+            senders.emplace_back([&] {
+                for (std::size_t count = 0; count < test.messages_each; ++count) {
+                    CHECK(inbox->post(std::size_t{1}));
+                }
+            });
+        }
+        for (auto& sender : senders) {
+            sender.join();
+        }
+        CHECK(sum.get() == total);
+    }
+}
+
+// Guards against unbounded memory under overload and against messages taken after shutdown.
+TEST_CASE("a full or closed mailbox refuses messages") {
+    mailbox<int> inbox{2};
+    CHECK(inbox.post(1));
+    CHECK(inbox.post(2));
+    CHECK_FALSE(inbox.post(3));
+    CHECK(inbox.take_all() == std::vector<int>{1, 2});
+    inbox.close();
+    CHECK_FALSE(inbox.post(4));
+}
+
+} // namespace
+} // namespace hawthornstall::runtime
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
