Add links between the system's processes with a liveness check

Cause: nng keeps a silent TCP connection open for ever, so a peer whose connection was lost by something in between would stay reachable on paper.

A link pings every 500 ms; after 1,500 ms of silence the peer is unreachable and the link's socket is replaced. Ruled out: reconnecting on the old socket, which would deliver messages queued for the old connection long after their senders gave up; nng's receive callbacks, which run on threads of the library and would share state (the pollable descriptor keeps it on the loop task).

--- /dev/null
+++ b/src/hawthornstall/net/peer_envelope.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+/// What travels on a link between two of the system's processes.
+
+#include "hawthornstall/wire/layout.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace hawthornstall::net {
+
+/// Purpose of an envelope.
+enum class envelope_kind : std::uint8_t {
+    ping, ///< Liveness check; the receiver answers with a pong.
+    pong, ///< Answer to a ping.
+    data, ///< Body for the receiving process.
+};
+
+/// Sender and content of one message.
+struct peer_envelope {
+    std::string sender;
+    std::uint64_t incarnation = 0; ///< Start time of the sending process, wall-clock ms.
+    envelope_kind kind = envelope_kind::ping;
+    std::string body;
+};
+
+} // namespace hawthornstall::net
+
+namespace hawthornstall::wire {
+
+template <> struct layout<net::envelope_kind> {
+    static constexpr auto last = net::envelope_kind::data;
+};
+
+template <> struct layout<net::peer_envelope> {
+    static constexpr auto members =
+        std::tuple{&net::peer_envelope::sender, &net::peer_envelope::incarnation,
+                   &net::peer_envelope::kind, &net::peer_envelope::body};
+};
+
+} // namespace hawthornstall::wire
--- /dev/null
+++ b/src/hawthornstall/net/peer_links.cpp
@@ -0,0 +1,141 @@
+#include "hawthornstall/net/peer_links.hpp"
+
+#include "hawthornstall/core/error.hpp"
+#include "hawthornstall/wire/codec.hpp"
+
+#include <utility>
+
+namespace hawthornstall::net {
+namespace detail {
+
+/// Incoming connections of a living peer carry a ping every 500 ms; one that is silent for this
+/// long has been abandoned by the peer.
+constexpr core::duration_ms pipe_silence_limit{5000};
+
+/// Most messages handled in one turn of the loop, so that timers are not starved under load.
+constexpr int receive_batch = 1024;
+
+} // namespace detail
+
+peer_links::peer_links(runtime::event_loop& loop, identity self, message_handler on_message,
+                       state_handler on_state)
+    : loop_(loop), self_(std::move(self)), on_message_(std::move(on_message)),
+      on_state_(std::move(on_state)) {}
+
+absl::Status peer_links::start(std::span<const peer_endpoint> peers) {
+    if (auto status = listener_.listen_pull(self_.listen_address); !status.ok()) {
+        return status;
+    }
+    const auto now = core::ms_clock::now();
+    for (const auto& peer : peers) {
+        auto& target = links_[peer.name];
+        target.address = peer.address;
+        replace(target, now);
+    }
+    receive_event_ = loop_.on_readable(listener_.receive_descriptor(), [this] { receive_all(); });
+    ping_event_ = loop_.every(ping_interval, [this] { check_liveness(); });
+    return absl::OkStatus();
+}
+
+absl::Status peer_links::send(std::string_view peer, std::string_view body) {
+    const auto found = links_.find(peer);
+    if (found == links_.end()) {
+        return core::make_error(absl::StatusCode::kNotFound, {.step = "send_to_peer", .peer = peer},
+                                "the settings name no such peer");
+    }
+    if (!found->second.reachable) {
+        return core::make_error(absl::StatusCode::kUnavailable,
+                                {.step = "send_to_peer", .peer = peer}, "peer is unreachable");
+    }
+    return send_envelope(found->second, envelope_kind::data, body);
+}
+
+bool peer_links::is_reachable(std::string_view peer) const {
+    const auto found = links_.find(peer);
+    return found != links_.end() && found->second.reachable;
+}
+
+void peer_links::receive_all() {
+    for (int count = 0; count < detail::receive_batch; ++count) {
+        const auto message = listener_.receive();
+        if (!message) {
+            return;
+        }
+        accept(message->pipe(), message->body());
+    }
+}
+
+void peer_links::accept(std::uint32_t pipe, std::string_view bytes) {
+    const auto envelope = wire::decode<peer_envelope>(bytes);
+    const auto now = core::ms_clock::now();
+    pipes_heard_[pipe] = now;
+    ++counters_.messages_received;
+    const auto found = envelope.ok() ? links_.find(envelope->sender) : links_.end();
+    if (found == links_.end()) {
+        // A sender that the settings do not name, or damaged bytes: drop the connection.
+        ++counters_.malformed;
+        detail::close_pipe(pipe);
+        return;
+    }
+    auto& origin = found->second;
+    origin.last_heard = now;
+    if (!std::exchange(origin.reachable, true)) {
+        on_state_(envelope->sender, true);
+    }
+    if (envelope->kind == envelope_kind::ping) {
+        // A lost pong is made up for by the next ping.
+        (void)send_envelope(origin, envelope_kind::pong, {});
+    } else if (envelope->kind == envelope_kind::data) {
+        on_message_(envelope->sender, envelope->incarnation, envelope->body);
+    }
+}
+
+void peer_links::check_liveness() {
+    const auto now = core::ms_clock::now();
+    for (auto& [name, target] : links_) {
+        const bool silent = now - target.last_heard > silence_limit;
+        if (silent && std::exchange(target.reachable, false)) {
+            on_state_(name, false);
+        }
+        if (silent && now - target.last_replaced > silence_limit) {
+            replace(target, now);
+            ++counters_.links_replaced;
+        }
+        (void)send_envelope(target, envelope_kind::ping, {});
+    }
+    close_silent_pipes(now);
+}
+
+void peer_links::close_silent_pipes(core::time_ms now) {
+    std::erase_if(pipes_heard_, [&](const auto& entry) {
+        const bool silent = now - entry.second > detail::pipe_silence_limit;
+        if (silent) {
+            detail::close_pipe(entry.first);
+        }
+        return silent;
+    });
+}
+
+void peer_links::replace(link& target, core::time_ms now) {
+    // A new socket rather than a new connection: messages that were queued for the old connection
+    // must not arrive long after their senders gave up on them.
+    target.socket = std::make_unique<detail::nng_socket_handle>();
+    target.last_replaced = now;
+    (void)target.socket->dial_push(target.address);
+}
+
+absl::Status peer_links::send_envelope(link& target, envelope_kind kind, std::string_view body) {
+    const auto bytes = wire::encode(peer_envelope{.sender = self_.name,
+                                                  .incarnation = self_.incarnation,
+                                                  .kind = kind,
+                                                  .body = std::string{body}});
+    auto status = target.socket->send(bytes);
+    if (status.ok()) {
+        ++counters_.messages_sent;
+        counters_.bytes_sent += bytes.size();
+        counters_.control_bytes_sent += kind == envelope_kind::data ? 0 : bytes.size();
+    }
+    return status;
+}
+
+} // namespace hawthornstall::net
--- /dev/null
+++ b/tests/hawthornstall/net/peer_links_test.cpp
@@ -0,0 +1,121 @@
+#include "hawthornstall/core/error.hpp"
+#include "hawthornstall/net/peer_links.hpp"
+#include "support/loopback.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hawthornstall::net {
+namespace {
+
+/// One process's links, run on the test's own loop.
+struct node {
+    node(runtime::event_loop& loop, std::string name, std::string address)
+        : links(
+              loop,
+              {.name = std::move(name), .incarnation = 1, .listen_address = std::move(address)},
+              [this](std::string_view sender, std::uint64_t /*incarnation*/,
+                     std::string_view body) {
+                  received.push_back(std::string{sender} + ':' + std::string{body});
+                  if (on_received) {
+                      on_received();
+                  }
+              },
+              [this](std::string_view /*peer*/, bool reachable) {
+                  states.push_back(reachable);
+                  if (on_state) {
+                      on_state();
+                  }
+              }) {}
+
+    std::vector<std::string> received;
+    std::vector<bool> states;
+    std::function<void()> on_received;
+    std::function<void()> on_state;
+    peer_links links;
+};
+
+constexpr core::duration_ms time_limit{10'000};
+
+// Guards against messages that arrive at the wrong peer, twice, or out of order on one link.
+TEST_CASE("messages reach the named peer in order") {
+    runtime::event_loop loop;
+    const auto addresses = testing::free_addresses<2>();
+    node first{loop, "first", addresses[0]};
+    node second{loop, "second", addresses[1]};
+    constexpr int message_count = 100;
+    std::vector<std::string> expected;
+    expected.reserve(message_count);
+    first.on_state = [&] {
+        for (int number = 0; number < message_count; ++number) {
+            REQUIRE(first.links.send("second", std::to_string(number)).ok());
+        }
+    };
+    second.on_received = [&] {
+        if (second.received.size() == message_count) {
+            loop.stop();
+        }
+    };
+    for (int number = 0; number < message_count; ++number) {
+        expected.push_back("first:" + std::to_string(number));
+    }
+    REQUIRE(first.links.start(std::array{peer_endpoint{"second", addresses[1]}}).ok());
+    REQUIRE(second.links.start(std::array{peer_endpoint{"first", addresses[0]}}).ok());
+    const auto limit = loop.after(time_limit, [&] { loop.stop(); });
+    loop.run();
+    CHECK(second.received == expected);
+    CHECK(first.received.empty());
+}
+
+// Guards against sends that seem to succeed although nobody can receive them.
+TEST_CASE("a send to an unknown or unreachable peer fails with the peer's name") {
+    runtime::event_loop loop;
+    const auto addresses = testing::free_addresses<2>();
+    node first{loop, "first", addresses[0]};
+    REQUIRE(first.links.start(std::array{peer_endpoint{"second", addresses[1]}}).ok());
+    struct send_case {
+        std::string_view peer;
+        absl::StatusCode code;
+    };
+    constexpr std::array cases{send_case{"second", absl::StatusCode::kUnavailable},
+                               send_case{"third", absl::StatusCode::kNotFound}};
+    for (const auto& test : cases) {
+        const auto status = first.links.send(test.peer, "body");
+        CHECK(status.code() == test.code);
+        CHECK(core::peer_of(status) == test.peer);
+    }
+}
+
+// Guards against a peer that stays "reachable" after it went silent, and against a link that is
+// not restored when the peer comes back.
+TEST_CASE("a silent peer becomes unreachable and a restarted one reachable again") {
+    runtime::event_loop loop;
+    const auto addresses = testing::free_addresses<2>();
+    node first{loop, "first", addresses[0]};
+    auto second = std::make_unique<node>(loop, "second", addresses[1]);
+    const std::array to_first{peer_endpoint{"first", addresses[0]}};
+    runtime::event_handle restart;
+    first.on_state = [&] {
+        if (first.states.size() == 1) {
+            restart = loop.after(core::duration_ms{0}, [&] { second.reset(); });
+        } else if (first.states.size() == 2) {
+            second = std::make_unique<node>(loop, "second", addresses[1]);
+            REQUIRE(second->links.start(to_first).ok());
+        } else {
+            loop.stop();
+        }
+    };
+    REQUIRE(first.links.start(std::array{peer_endpoint{"second", addresses[1]}}).ok());
+    REQUIRE(second->links.start(to_first).ok());
+    const auto limit = loop.after(time_limit, [&] { loop.stop(); });
+    loop.run();
+    CHECK(first.states == std::vector<bool>{true, false, true});
+}
+
+} // namespace
+} // namespace hawthornstall::net
