--- /dev/null
+++ b/src/hawthornstall/entry/forward_table.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+/// Jobs of this host's callers that wait for an answer of another entry host.
+
+#include "hawthornstall/core/job.hpp"
+#include "hawthornstall/entry/reply_address.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::entry {
+
+/// A job that waits for its owner.
+struct forwarded_job {
+    reply_address reply_to;
+    std::string zone;    ///< Zone whose owner is asked.
+    std::string host;    ///< Host that was asked last; empty while none is known.
+    core::time_ms deadline{};
+    core::time_ms retry_at{}; ///< When to ask again if nothing was heard.
+    bool sent = false;        ///< Some host was asked; it may have run the job.
+    core::job_request job;
+};
+
+/// Owned by the dispatcher. Asking again is safe for jobs with an identifier, which the owner
+/// deduplicates, and for idempotent ones.
+class forward_table {
+public:
+    /// Adds a job and returns its number.
+    std::uint64_t add(forwarded_job job);
+
+    /// Removes and returns the job, empty when it is unknown: answered before or expired.
+    [[nodiscard]] std::optional<forwarded_job> take(std::uint64_t number);
+
+    [[nodiscard]] forwarded_job* find(std::uint64_t number);
+
+    /// Schedules every job that was sent to `host` to be asked again at `now`.
+    void host_lost(std::string_view host, core::time_ms now);
+
+    /// Numbers of the jobs that are to be sent or sent again at `now`.
+    [[nodiscard]] std::vector<std::uint64_t> due(core::time_ms now) const;
+
+    /// Removes and returns the jobs whose deadline has passed.
+    [[nodiscard]] std::vector<forwarded_job> take_expired(core::time_ms now);
+
+    [[nodiscard]] std::size_t size() const noexcept { return jobs_.size(); }
+
+private:
+    std::uint64_t last_number_ = 0;
+    std::map<std::uint64_t, forwarded_job> jobs_;
+};
+
+} // namespace hawthornstall::entry
--- /dev/null
+++ b/src/hawthornstall/entry/shard_ownership.cpp
@@ -0,0 +1,136 @@
+/// Members of shard that follow the journal: gaining, confirming and losing ownership.
+
+#include "hawthornstall/entry/shard.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace hawthornstall::entry {
+namespace detail {
+
+template <class... Handlers>
+struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+
+constexpr std::string_view ownership_lost =
+    "the owner lost its journal quorum or was superseded after tasks had started";
+
+} // namespace detail
+
+void shard::take_journal_effects(journal::owner_effects effects, times at) {
+    for (auto& effect : effects) {
+        std::visit(detail::overloaded{
+                       [&](journal::send_to_replica& send) {
+                           effects_.emplace_back(
+                               journal_message_out{send.replica, std::move(send.message)});
+                       },
+                       [&](const journal::appends_committed& commit) {
+                           send_committed(commit.sequence, at);
+                           release_committed(commit.sequence);
+                       },
+                       [&](const journal::serving_started& /*started*/) {
+                           effects_.emplace_back(ownership_changed{});
+                           admit_waiting(at);
+                       },
+                       [&](const journal::stepped_down& /*down*/) { step_down(at); },
+                       [&](const journal::quorum_changed& /*changed*/) {
+                           effects_.emplace_back(ownership_changed{});
+                       },
+                   },
+                   effect);
+    }
+}
+
+void shard::step_down(times at) {
+    effects_.emplace_back(ownership_changed{});
+    for (auto& waiting : std::exchange(waiting_, {})) {
+        effects_.emplace_back(redirect_out{waiting.reply_to});
+    }
+    for (const auto& [sequence, held] : std::exchange(held_by_append_, {})) {
+        effects_.emplace_back(redirect_out{held.reply_to});
+    }
+    std::vector<std::uint64_t> submissions;
+    for (const auto& [number, job] : jobs_) {
+        if (job.submission) {
+            submissions.push_back(number);
+        }
+    }
+    for (const auto number : submissions) {
+        auto& job = jobs_.at(number);
+        if (job.end || job.registered) {
+            end_unconfirmed(number, job, at);
+        } else {
+            abandon(number, at);
+        }
+    }
+    ends_by_append_.clear();
+    // No start record of these runs may count on a quorum any more, so none of them is sent.
+    for (const auto& [sequence, runs] : std::exchange(runs_by_append_, {})) {
+        for (const auto run : runs) {
+            if (const auto found = runs_.find(run); found != runs_.end()) {
+                const auto attempt = found->second.attempt;
+                runs_.erase(found);
+                scheduler_->not_sent(attempt, scheduling::not_sent_cause::stopped, at.now);
+            }
+        }
+    }
+}
+
+void shard::end_unconfirmed(std::uint64_t number, open_job& job, times at) {
+    const bool is_whole = job.end && job.end->outcome == core::outcome_class::answered;
+    if (is_whole) {
+        reply(job.waiters, *job.end);
+    } else if (!job.registered) {
+        abandon(number, at);
+        return;
+    } else {
+        reply(job.waiters, {.id = job.request.id,
+                            .outcome = core::outcome_class::may_have_run,
+                            .reason = std::string{detail::ownership_lost},
+                            .retry_after = {},
+                            .results = {}});
+    }
+    close(number);
+    scheduler_->cancel(scheduling::job_id{number});
+}
+
+void shard::abandon(std::uint64_t number, times /*at*/) {
+    for (const auto& waiter : jobs_.at(number).waiters) {
+        effects_.emplace_back(redirect_out{waiter});
+    }
+    close(number);
+    scheduler_->cancel(scheduling::job_id{number});
+}
+
+void shard::expire_held(times at) {
+    // The quorum did not confirm in time. A whole answer is still whole; a refusal is not proved.
+    std::vector<std::uint64_t> overdue;
+    for (const auto& [sequence, number] : ends_by_append_) {
+        const auto found = jobs_.find(number);
+        if (found != jobs_.end() && found->second.deadline <= at.now) {
+            overdue.push_back(number);
+        }
+    }
+    for (const auto number : overdue) {
+        auto& job = jobs_.at(number);
+        if (job.end->outcome == core::outcome_class::refused_not_run) {
+            job.end->outcome = core::outcome_class::may_have_run;
+            job.end->reason += "; the journal could not confirm that nothing ran";
+        }
+        reply(job.waiters, *job.end);
+        close(number);
+    }
+    std::erase_if(held_by_append_, [&](auto& entry) {
+        auto& held = entry.second;
+        if (held.deadline > at.now) {
+            return false;
+        }
+        held.answer.outcome = core::outcome_class::may_have_run;
+        reply({&held.reply_to, 1}, held.answer);
+        return true;
+    });
+}
+
+} // namespace hawthornstall::entry
