Add settings of both daemons and the service document, checked as a whole

Cause: operators and teams need every fault of a document at once, each with its path and accepted range, and hostile input must not harm a host.

One checker class reads the fields of an object into typed values and collects problems; the service document and the settings of entry and control hosts use it. Limits: 1 MiB, 16 levels of nesting, 100 reported problems. A first pass over the parser events enforces the nesting limit and reports duplicate keys, which the JSON library resolves silently in favour of the last one. Conflicts between keys are reported only when the keys themselves are valid.

Ruled out: a JSON schema (no conflicts between keys, and another library), and including nlohmann/json.hpp in headers; the checker's header needs json_fwd.hpp only.

--- /dev/null
+++ b/src/hawthornstall/settings/host_entries.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+/// Entries that the settings of both daemons share.
+
+#include "hawthornstall/core/log_level.hpp"
+#include "hawthornstall/settings/object_checker.hpp"
+#include "hawthornstall/settings/socket_address.hpp"
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::settings {
+
+/// Name and peer address of a host.
+struct host_entry {
+    std::string name;
+    socket_address peer_address;
+
+    bool operator==(const host_entry&) const = default;
+};
+
+/// Most hosts in one list. The design scale is 18 zones; 32 entry hosts in each leave a margin.
+constexpr std::size_t max_hosts = 576;
+
+/// Range of the relative capacity of an entry host.
+inline constexpr real_range weight_range{0.01, 100.0};
+
+/// Reads an address at `key`.
+void read_address(object_checker& fields, std::string_view key, presence need,
+                  socket_address& address);
+
+/// Reads "log_level".
+void read_log_level(object_checker& fields, core::log_level& level);
+
+/// Reads the array of {"name", "peer_address"} at `key`; names and addresses must be distinct.
+[[nodiscard]] std::vector<host_entry> read_hosts(object_checker& fields, std::string_view key,
+                                                 presence need, list_range range);
+
+/// Reports the name and the address of `host`, read from `entry`, when an earlier host has them.
+void check_distinct(object_checker& entry, const host_entry& host,
+                    std::span<const host_entry> earlier);
+
+} // namespace hawthornstall::settings
--- /dev/null
+++ b/tests/hawthornstall/settings/host_settings_test.cpp
@@ -0,0 +1,130 @@
+#include "hawthornstall/settings/control_settings.hpp"
+#include "hawthornstall/settings/entry_settings.hpp"
+#include "hawthornstall/settings/problem_lines.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace hawthornstall::settings {
+namespace {
+
+const std::string control_hosts = R"([{"name":"control-1","peer_address":"192.0.2.9:7100"}])";
+
+/// Valid settings of an entry host with `extra` members at the end.
+std::string entry_text(std::string_view peers, std::string_view extra) {
+    return R"({"name":"bilbao-1","zone":"bilbao","http_address":"192.0.2.1:8080",)"
+           R"("peer_address":"192.0.2.1:7000","journal_replicas":["bilbao-1"],"control_hosts":)" +
+           control_hosts + R"(,"peers":[)" + std::string{peers} + "]" + std::string{extra} + "}";
+}
+
+constexpr std::string_view tokens_file = R"(,"tokens_file":"tokens.json")";
+
+struct fault_case {
+    std::string_view name;
+    std::string text;
+    std::vector<std::string> problems; ///< Complete list, in order.
+};
+
+// Guards against a daemon that starts with settings that contradict each other.
+TEST_CASE("faults of entry-host settings are reported at once") {
+    const std::array cases{
+        fault_case{"valid", entry_text("", tokens_file), {}},
+        fault_case{
+            "peers",
+            entry_text(R"({"name":"bilbao-1","zone":"bilbao","peer_address":"192.0.2.1:7000"},)"
+                       R"(7,{"name":"a","zone":"b","peer_address":"host:1","weight":0},)"
+                       R"({"name":"a","zone":"b","peer_address":"192.0.2.3:0","kind":1})",
+                       tokens_file),
+            {"$.peers[1]: expected an object, found 7",
+             "$.peers[0].name: must not name this host itself",
+             "$.peers[0].peer_address: must not be the address of this host itself",
+             "$.peers[2].weight: expected a number from 0.01 to 100.0, found 0",
+             "$.peers[2].peer_address: expected " + std::string{address_rule.description} +
+                 ", found a value of type string",
+             "$.peers[3].peer_address: expected " + std::string{address_rule.description} +
+                 ", found a value of type string",
+             "$.peers[3].name: name of an earlier entry", "$.peers[3].kind: unknown key"}},
+        fault_case{"replicas and thread count",
+                   entry_text("", R"(,"tokens_file":"t","http_threads":65,"log_level":"trace")"),
+                   {"$.http_threads: expected a whole number from 1 to 64 threads, found 65",
+                    "$.log_level: expected one of debug, info, warning, error, found a value of "
+                    "type string"}},
+        fault_case{"no tokens",
+                   entry_text("", ""),
+                   {"$.tokens: exactly one of \"tokens\" and \"tokens_file\" must be given"}},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        CHECK(problem_lines(parse_entry_settings(test.text).status()) == test.problems);
+    }
+}
+
+std::string control_text(std::string_view voters) {
+    return R"({"name":"control-1","peer_address":"192.0.2.9:7100","data_folder":"data",)"
+           R"("entry_hosts":[{"name":"bilbao-1","peer_address":"192.0.2.1:7000"}],"voters":)" +
+           std::string{voters} + "}";
+}
+
+// Guards against a control host that votes under another host's name or address.
+TEST_CASE("faults of control-host settings are reported at once") {
+    const std::string mismatch = "$.voters: an entry must have both or neither of $.name and "
+                                 "$.peer_address (entry control-";
+    const std::array cases{
+        fault_case{"valid", control_text(control_hosts), {}},
+        fault_case{"joins later",
+                   control_text(R"([{"name":"control-2","peer_address":"192.0.2.8:7100"}])"),
+                   {}},
+        fault_case{"other address",
+                   control_text(R"([{"name":"control-1","peer_address":"192.0.2.8:7100"}])"),
+                   {mismatch + "1)"}},
+        fault_case{"other name",
+                   control_text(R"([{"name":"control-2","peer_address":"192.0.2.9:7100"}])"),
+                   {mismatch + "2)"}},
+        fault_case{"no voters",
+                   control_text("[]"),
+                   {"$.voters: expected an array of 1 to 9 elements, found an array of 0 "
+                    "elements"}},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        CHECK(problem_lines(parse_control_settings(test.text).status()) == test.problems);
+    }
+}
+
+struct address_case {
+    std::string_view text;
+    bool valid;
+};
+
+// Guards against host names, which the platform does not resolve, and against half-read ports.
+TEST_CASE("addresses survive a round trip or are refused") {
+    constexpr std::array cases{
+        address_case{"192.0.2.1:7000", true},  address_case{"[2001:db8::1]:65535", true},
+        address_case{"192.0.2.1", false},      address_case{"192.0.2.1:", false},
+        address_case{"192.0.2.1:0", false},    address_case{"192.0.2.1:65536", false},
+        address_case{"192.0.2.1:70x", false},  address_case{"192.0.2.256:1", false},
+        address_case{"2001:db8::1:80", false}, address_case{"[192.0.2.1]:80", false},
+        address_case{"localhost:80", false},   address_case{"", false},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.text);
+        const auto address = parse_socket_address(test.text);
+        CHECK(address.has_value() == test.valid);
+        if (address) {
+            CHECK(to_string(*address) == test.text);
+        }
+    }
+}
+
+// Guards against a daemon that treats a missing file as empty settings.
+TEST_CASE("a missing settings file is an error") {
+    CHECK(load_entry_settings("no-such-file.json").status().code() == absl::StatusCode::kNotFound);
+    CHECK(load_control_settings("no-such-file.json").status().code() ==
+          absl::StatusCode::kNotFound);
+}
+
+} // namespace
+} // namespace hawthornstall::settings
