Add the document store and the entry host's copy of the documents

The configuration log needs a deterministic state machine that decides which edit wins, and entry hosts need a copy that never goes backwards.

An edit is judged by identifier, owner and base version in this order. A resent edit receives its first answer; the identifier is scoped by team and bound to a fingerprint of the content, because two people who pick the same identifier for different documents would otherwise both be told that they won.

--- /dev/null
+++ b/src/hawthornstall/control/applied_documents.cpp
@@ -0,0 +1,54 @@
+#include "hawthornstall/control/applied_documents.hpp"
+
+#include <algorithm>
+
+namespace hawthornstall::control {
+
+std::vector<std::string_view> applied_documents::apply(const config_delta& delta) {
+    std::vector<std::string_view> changed;
+    for (const auto& document : delta.documents) {
+        const auto place = std::ranges::lower_bound(documents_, document.service, {},
+                                                    &core::service_document::service);
+        if (place == documents_.end() || place->service != document.service) {
+            documents_.insert(place, document);
+        } else if (place->version < document.version) {
+            *place = document;
+        } else {
+            continue;
+        }
+        // The views point into the caller's delta: inserting moves the documents of the copy.
+        changed.emplace_back(document.service);
+    }
+    // A delta that starts later leaves a gap, which the next digest shows.
+    if (delta.from_revision <= revision_) {
+        revision_ = std::max(revision_, delta.to_revision);
+    }
+    return changed;
+}
+
+digest_outcome applied_documents::check(const config_digest& digest, core::time_ms now) {
+    if (digest.revision < revision_) {
+        return digest_outcome::control_behind;
+    }
+    if (digest.revision > revision_) {
+        return digest_outcome::behind;
+    }
+    if (digest.versions_hash != versions_hash(documents_)) {
+        return digest_outcome::differs;
+    }
+    const auto confirmed = now - digest.confirmation_age;
+    last_confirmed_ = std::max(last_confirmed_.value_or(confirmed), confirmed);
+    return digest_outcome::confirmed;
+}
+
+const core::service_document* applied_documents::find(std::string_view service) const {
+    const auto found =
+        std::ranges::lower_bound(documents_, service, {}, &core::service_document::service);
+    return found == documents_.end() || found->service != service ? nullptr : &*found;
+}
+
+bool applied_documents::may_be_stale(core::time_ms now) const {
+    return !last_confirmed_ || now - *last_confirmed_ > stale_after_;
+}
+
+} // namespace hawthornstall::control
--- /dev/null
+++ b/src/hawthornstall/control/document_store.cpp
@@ -0,0 +1,174 @@
+#include "hawthornstall/control/document_store.hpp"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <numeric>
+#include <utility>
+
+namespace hawthornstall::control {
+
+std::size_t document_bytes(const core::service_document& document) {
+    const auto& callers = document.accepts.callers;
+    return std::accumulate(
+        callers.begin(), callers.end(),
+        sizeof document + document.service.size() + document.team.size(),
+        [](std::size_t sum, const std::string& caller) { return sum + caller.size(); });
+}
+
+edit_answer document_store::apply(const edit_command& edit) {
+    // An edit without a usable identifier is not remembered; it could not be recognised anyway.
+    if (!is_valid(edit)) {
+        return judge(edit);
+    }
+    edit_key key{.team = edit.actor_team, .edit_id = edit.edit_id};
+    const auto print = fingerprint(edit);
+    if (const auto answer = first_answer(key, print)) {
+        return *answer;
+    }
+    const auto answer = judge(edit);
+    const bool accepted = answer.result == edit_result::accepted;
+    if (accepted) {
+        put(edit.document, answer.version);
+        record(edit, answer.version);
+    }
+    auto& memory = accepted ? accepted_edits_ : refused_edits_;
+    memory.remember({.key = std::move(key), .fingerprint = print, .answer = answer});
+    return answer;
+}
+
+std::optional<edit_answer> document_store::first_answer(const edit_key& key,
+                                                        std::uint64_t print) const {
+    for (const auto* memory : {&accepted_edits_, &refused_edits_}) {
+        if (const auto* const known = memory->find(key)) {
+            return known->fingerprint == print
+                       ? known->answer
+                       : edit_answer{.result = edit_result::id_reused, .version = 0};
+        }
+    }
+    return std::nullopt;
+}
+
+edit_answer document_store::judge(const edit_command& edit) const {
+    const auto* const current = find(edit.service);
+    const std::uint64_t version = current == nullptr ? 0 : current->version;
+    if (!is_valid(edit)) {
+        return {.result = edit_result::invalid, .version = version};
+    }
+    const std::string_view owner = current == nullptr ? edit.document.team : current->team;
+    if (edit.actor_team != owner || edit.document.team != owner) {
+        return {.result = edit_result::not_owner, .version = version};
+    }
+    if (edit.base_version != version) {
+        return {.result = edit_result::version_conflict, .version = version};
+    }
+    if (!has_room_for(edit.document)) {
+        return {.result = edit_result::store_full, .version = version};
+    }
+    return {.result = edit_result::accepted, .version = version + 1};
+}
+
+bool document_store::is_valid(const edit_command& edit) const {
+    const auto is_name = [this](std::string_view name) {
+        return !name.empty() && name.size() <= bounds_.max_name_bytes;
+    };
+    const auto& document = edit.document;
+    const std::array<std::string_view, 6> names{edit.edit_id,    edit.service,  edit.actor,
+                                                edit.actor_team, document.team, edit.host};
+    return std::ranges::all_of(names, is_name) && document.service == edit.service &&
+           document.accepts.callers.size() <= bounds_.max_callers &&
+           std::ranges::all_of(document.accepts.callers, is_name);
+}
+
+bool document_store::has_room_for(const core::service_document& document) const {
+    const auto* const current = find(document.service);
+    const std::size_t freed = current == nullptr ? 0 : document_bytes(*current);
+    return (current != nullptr || documents_.size() < bounds_.max_documents) &&
+           total_bytes_ - freed + document_bytes(document) <= bounds_.max_total_document_bytes;
+}
+
+std::size_t document_store::position_of(std::string_view service) const {
+    const auto found =
+        std::ranges::lower_bound(documents_, service, {}, &core::service_document::service);
+    return static_cast<std::size_t>(found - documents_.begin());
+}
+
+const core::service_document* document_store::find(std::string_view service) const {
+    const auto position = position_of(service);
+    const bool known = position < documents_.size() && documents_[position].service == service;
+    return known ? &documents_[position] : nullptr;
+}
+
+void document_store::put(const core::service_document& document, std::uint64_t version) {
+    const auto position = position_of(document.service);
+    const auto offset = static_cast<std::ptrdiff_t>(position);
+    if (find(document.service) == nullptr) {
+        documents_.insert(documents_.begin() + offset, core::service_document{});
+        changed_at_revision_.insert(changed_at_revision_.begin() + offset, 0);
+    } else {
+        total_bytes_ -= document_bytes(documents_[position]);
+    }
+    documents_[position] = document;
+    documents_[position].version = version;
+    total_bytes_ += document_bytes(document);
+    changed_at_revision_[position] = ++revision_;
+}
+
+void document_store::record(const edit_command& edit, std::uint64_t version) {
+    if (audit_.size() >= bounds_.audit_records) {
+        // Dropping an eighth at a time keeps the cost of moving the rest off most edits.
+        const auto dropped = static_cast<std::ptrdiff_t>(bounds_.audit_records / 8 + 1);
+        audit_.erase(audit_.begin(), audit_.begin() + dropped);
+    }
+    audit_.push_back({.revision = revision_,
+                      .edit_id = edit.edit_id,
+                      .service = edit.service,
+                      .actor = edit.actor,
+                      .actor_team = edit.actor_team,
+                      .from_version = edit.base_version,
+                      .to_version = version,
+                      .wall_time = edit.wall_time,
+                      .host = edit.host});
+}
+
+std::span<const audit_record> document_store::audit_after(std::uint64_t revision,
+                                                          std::size_t limit) const {
+    const auto first = std::ranges::upper_bound(audit_, revision, {}, &audit_record::revision);
+    const auto skipped = static_cast<std::size_t>(first - audit_.begin());
+    const std::span all{audit_};
+    return all.subspan(skipped, std::min(limit, all.size() - skipped));
+}
+
+config_delta document_store::delta_after(std::uint64_t revision) const {
+    config_delta delta{.from_revision = revision, .to_revision = revision_, .documents = {}};
+    for (std::size_t position = 0; position < documents_.size(); ++position) {
+        if (changed_at_revision_[position] > revision) {
+            delta.documents.push_back(documents_[position]);
+        }
+    }
+    return delta;
+}
+
+store_snapshot document_store::snapshot() const {
+    return {.revision = revision_,
+            .documents = documents_,
+            .changed_at_revision = changed_at_revision_,
+            .audit = audit_,
+            .accepted_edits = accepted_edits_.entries(),
+            .refused_edits = refused_edits_.entries()};
+}
+
+void document_store::restore(store_snapshot snapshot) {
+    revision_ = snapshot.revision;
+    documents_ = std::move(snapshot.documents);
+    changed_at_revision_ = std::move(snapshot.changed_at_revision);
+    audit_ = std::move(snapshot.audit);
+    accepted_edits_.restore(snapshot.accepted_edits);
+    refused_edits_.restore(snapshot.refused_edits);
+    total_bytes_ = 0;
+    for (const auto& document : documents_) {
+        total_bytes_ += document_bytes(document);
+    }
+}
+
+} // namespace hawthornstall::control
