--- /dev/null
+++ b/src/hawthornstall/entry/check_limits.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+/// Fourth filter of the front end: whether the call keeps to the service's document.
+
+#include "hawthornstall/entry/caller_request.hpp"
+
+#include <absl/status/statusor.h>
+
+namespace hawthornstall::entry {
+
+/// Refuses calls beyond the document's limits and fills in the default deadline.
+class check_limits {
+public:
+    [[nodiscard]] absl::StatusOr<decoded_call> operator()(governed_call governed) const;
+};
+
+} // namespace hawthornstall::entry
--- /dev/null
+++ b/src/hawthornstall/entry/dispatcher.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+/// Decisions of one entry host: routes jobs to owners, owns shards, holds a journal replica.
+
+#include "hawthornstall/entry/dispatcher_effects.hpp"
+#include "hawthornstall/entry/dispatcher_messages.hpp"
+#include "hawthornstall/entry/forward_table.hpp"
+#include "hawthornstall/entry/host_directory.hpp"
+#include "hawthornstall/entry/shard.hpp"
+#include "hawthornstall/journal/replica.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::entry {
+
+/// Identity of this host and the shape of its deployment.
+struct dispatcher_options {
+    known_host self;
+    std::uint64_t incarnation = 0; ///< Wall-clock start time in ms.
+    std::vector<known_host> others;
+    std::vector<std::string> journal_replicas; ///< Replicas of this host's zone.
+    std::vector<std::string> control_hosts;
+};
+
+/// Pure state machine; the loop task around it carries out the effects.
+class dispatcher {
+public:
+    using times = shard::times;
+
+    dispatcher(dispatcher_options options, times started);
+
+    [[nodiscard]] dispatcher_effects handle(dispatcher_message message, times at);
+
+    /// Timers; to be called no later than next_call().
+    [[nodiscard]] dispatcher_effects tick(times at);
+
+    [[nodiscard]] core::time_ms next_call() const noexcept { return next_call_; }
+
+    /// Whether a requested shutdown can end the process without cutting off a request.
+    [[nodiscard]] bool is_drained() const;
+
+private:
+    void take(job_arrived arrived, times at);
+    void take(const id_wanted& wanted, times at);
+    void take(const target_news& news, times at);
+    void take(const edit_arrived& arrived, times at);
+    void take(const view_wanted& wanted, times at);
+    void take(const task_report& report, times at);
+    void take(incoming_message incoming, times at);
+    void take(const peer_state_changed& change, times at);
+    void take(const shutdown_requested& request, times at);
+
+    void receive(std::string_view peer, forward_job forwarded, times at);
+    void receive(std::string_view peer, const job_done& done, times at);
+    void receive(std::string_view peer, const not_owner& refusal, times at);
+    void receive(std::string_view peer, ownership_notice notice, times at);
+    void receive(std::string_view peer, const journal::owner_message& message, times at);
+    void receive(std::string_view peer, const journal::replica_message& message, times at);
+
+    void ask_owner(std::uint64_t number, times at);
+    [[nodiscard]] bool assign_id(forwarded_job& job, const announced_owner& owner, times at);
+    void expire_forwarded(times at);
+    void answer_local(const reply_address& reply_to, core::job_answer answer);
+    void answer(const reply_address& reply_to, const core::job_answer& answer, times at);
+    void redirect(const reply_address& reply_to, times at);
+
+    void apply_documents(times at);
+    [[nodiscard]] shard* find_shard(std::string_view service);
+    void claim_shards(times at);
+    void carry_out(shard& source, shard_effects effects, times at);
+    void send_journal(std::string_view replica, journal::owner_message message, times at);
+    void send(std::string_view peer, peer_message message);
+    void send_notices(times at);
+    [[nodiscard]] ownership_notice make_notice(times at) const;
+    void offer_targets(shard& to, times at);
+    void to_front(const local_caller& caller, front_message message);
+    [[nodiscard]] dispatcher_effects take_effects(times at);
+
+    dispatcher_options options_;
+    host_directory hosts_;
+    journal::replica replica_;
+    forward_table forwarded_;
+    std::map<std::string, std::unique_ptr<shard>, std::less<>> shards_;
+    std::shared_ptr<const control::applied_documents> documents_;
+    bool draining_ = false;
+    bool notice_due_ = false;
+    core::time_ms next_notice_{};
+    core::time_ms next_claim_{};
+    std::uint64_t last_key_ = 0;
+    core::time_ms next_call_{};
+    dispatcher_effects effects_;
+};
+
+} // namespace hawthornstall::entry
--- /dev/null
+++ b/src/hawthornstall/entry/dispatcher_messages.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+/// Messages between the front ends and the dispatcher of one entry host.
+
+#include "hawthornstall/control/applied_documents.hpp"
+#include "hawthornstall/control/document_edit.hpp"
+#include "hawthornstall/core/admin_view.hpp"
+#include "hawthornstall/core/job.hpp"
+#include "hawthornstall/core/target.hpp"
+#include "hawthornstall/entry/link_logic.hpp"
+#include "hawthornstall/entry/reply_address.hpp"
+#include "hawthornstall/entry/target_logic.hpp"
+
+#include <absl/status/status.h>
+
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace hawthornstall::entry {
+
+/// A caller's job that passed the front end's pipeline.
+struct job_arrived {
+    local_caller from;
+    core::job_request job;
+};
+
+/// A caller wants a submission identifier for `service`.
+struct id_wanted {
+    local_caller from;
+    std::string service;
+};
+
+/// A target announced itself or leaves.
+struct target_news {
+    local_caller from;
+    core::target_announcement announcement;
+};
+
+/// An authenticated edit of a service document.
+struct edit_arrived {
+    local_caller from;
+    control::edit_command edit;
+};
+
+/// An operator's question.
+struct view_wanted {
+    local_caller from;
+    core::view_kind kind = core::view_kind::hosts;
+};
+
+/// The process is to end: hand ownership over and finish what runs.
+struct shutdown_requested {};
+
+using dispatcher_message =
+    std::variant<job_arrived, id_wanted, target_news, edit_arrived, view_wanted, task_report,
+                 incoming_message, peer_state_changed, shutdown_requested>;
+
+/// The end of a job.
+struct job_answered {
+    std::uint64_t request = 0;
+    core::job_answer answer;
+};
+
+/// A request without a body in its answer ended.
+struct request_done {
+    std::uint64_t request = 0;
+    absl::Status status;
+};
+
+struct id_issued {
+    std::uint64_t request = 0;
+    core::submission_id id;
+};
+
+struct edit_answered {
+    std::uint64_t request = 0;
+    control::edit_answer answer;
+};
+
+struct view_ready {
+    std::uint64_t request = 0;
+    core::admin_view view;
+};
+
+/// The documents in force changed; the copy is never modified.
+struct documents_changed {
+    std::shared_ptr<const control::applied_documents> documents;
+};
+
+/// Stop accepting connections, answer what is open, then report idle.
+struct close_requested {};
+
+using front_message = std::variant<job_answered, request_done, id_issued, edit_answered, view_ready,
+                                   documents_changed, close_requested>;
+
+} // namespace hawthornstall::entry
--- /dev/null
+++ b/src/hawthornstall/entry/front_logic.cpp
@@ -0,0 +1,332 @@
+#include "hawthornstall/entry/front_logic.hpp"
+
+#include "hawthornstall/core/error.hpp"
+#include "hawthornstall/http/admin_body.hpp"
+#include "hawthornstall/http/error_body.hpp"
+#include "hawthornstall/http/job_body.hpp"
+#include "hawthornstall/http/target_body.hpp"
+#include "hawthornstall/settings/service_document_json.hpp"
+
+#include <charconv>
+#include <optional>
+#include <stdexcept>
+#include <utility>
+
+namespace hawthornstall::entry {
+namespace detail {
+
+constexpr std::string_view services_prefix = "/v1/services/";
+constexpr std::string_view documents_prefix = "/v1/documents/";
+constexpr std::string_view jobs_suffix = "/jobs";
+constexpr std::string_view requests_suffix = "/requests";
+
+/// Text between `prefix` and `suffix`, empty when `path` does not have this form.
+std::string_view between(std::string_view path, std::string_view prefix, std::string_view suffix) {
+    if (path.size() <= prefix.size() + suffix.size() || !path.starts_with(prefix) ||
+        !path.ends_with(suffix)) {
+        return {};
+    }
+    path.remove_prefix(prefix.size());
+    path.remove_suffix(suffix.size());
+    return path;
+}
+
+absl::Status no_such_endpoint(const net::http_request& request) {
+    return core::make_error(absl::StatusCode::kNotFound, {.step = "route_request", .peer = {}},
+                            "no endpoint " + std::string{request.method} + ' ' +
+                                std::string{request.path});
+}
+
+absl::Status overloaded() {
+    return core::make_error(absl::StatusCode::kUnavailable, {.step = "dispatch", .peer = {}},
+                            "this entry host is overloaded; nothing ran");
+}
+
+std::optional<std::uint64_t> parse_version(std::string_view text) {
+    std::uint64_t version = 0;
+    const char* const end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, version);
+    if (text.empty() || result.ec != std::errc{} || result.ptr != end) {
+        return std::nullopt;
+    }
+    return version;
+}
+
+std::string_view result_name(control::edit_result result) {
+    switch (result) {
+    case control::edit_result::accepted:
+        return "accepted";
+    case control::edit_result::version_conflict:
+        return "version_conflict";
+    case control::edit_result::not_owner:
+        return "not_owner";
+    case control::edit_result::id_reused:
+        return "id_reused";
+    case control::edit_result::invalid:
+        return "invalid";
+    case control::edit_result::store_full:
+        return "store_full";
+    }
+    return "unknown";
+}
+
+int edit_status(control::edit_result result) {
+    constexpr int ok = 200;
+    constexpr int bad_request = 400;
+    constexpr int forbidden = 403;
+    constexpr int conflict = 409;
+    constexpr int insufficient_storage = 507;
+    switch (result) {
+    case control::edit_result::accepted:
+        return ok;
+    case control::edit_result::version_conflict:
+    case control::edit_result::id_reused:
+        return conflict;
+    case control::edit_result::not_owner:
+        return forbidden;
+    case control::edit_result::invalid:
+        return bad_request;
+    case control::edit_result::store_full:
+        return insufficient_storage;
+    }
+    return bad_request;
+}
+
+} // namespace detail
+
+front_logic::front_logic(front_options options, dispatcher_sender to_dispatcher,
+                         metrics_source metrics, std::function<void()> on_idle)
+    : options_(std::move(options)), to_dispatcher_(std::move(to_dispatcher)),
+      metrics_(std::move(metrics)), on_idle_(std::move(on_idle)),
+      pipeline_(authenticate{options_.credentials}, decode_call{}, resolve_service{&documents_},
+                check_limits{}) {}
+
+void front_logic::attach(runtime::event_loop& loop) {
+    server_ = std::make_unique<net::http_server>(
+        loop, options_.address, net::http_server_limits{},
+        [this](const net::http_request& request) { receive(request); });
+    if (const auto status = server_->start(); !status.ok()) {
+        throw std::runtime_error{core::describe(status)};
+    }
+}
+
+void front_logic::receive(const net::http_request& request) {
+    if (request.method == "POST") {
+        receive_post(request);
+    } else if (request.method == "GET") {
+        receive_get(request);
+    } else if (const auto service = detail::between(request.path, detail::documents_prefix, {});
+               request.method == "PUT" && !service.empty()) {
+        receive_edit(request, service);
+    } else {
+        answer_error(request.number, detail::no_such_endpoint(request));
+    }
+}
+
+void front_logic::receive_post(const net::http_request& request) {
+    const auto jobs_of =
+        detail::between(request.path, detail::services_prefix, detail::jobs_suffix);
+    const auto requests_of =
+        detail::between(request.path, detail::services_prefix, detail::requests_suffix);
+    if (!jobs_of.empty()) {
+        receive_call(request, jobs_of, call_kind::job);
+    } else if (!requests_of.empty()) {
+        receive_call(request, requests_of, call_kind::request);
+    } else if (request.path == "/v1/submission-ids") {
+        receive_id_request(request);
+    } else if (request.path == "/v1/targets/announce") {
+        receive_target(request, false);
+    } else if (request.path == "/v1/targets/leave") {
+        receive_target(request, true);
+    } else {
+        answer_error(request.number, detail::no_such_endpoint(request));
+    }
+}
+
+void front_logic::receive_get(const net::http_request& request) {
+    const auto document_of = detail::between(request.path, detail::documents_prefix, {});
+    if (!document_of.empty() || request.path == "/v1/documents") {
+        show_document(request, document_of);
+    } else if (request.path == "/v1/hosts" || request.path == "/v1/rollout") {
+        receive_view(request, core::view_kind::hosts);
+    } else if (request.path == "/v1/targets") {
+        receive_view(request, core::view_kind::targets);
+    } else if (request.path == "/v1/shards") {
+        receive_view(request, core::view_kind::shards);
+    } else if (request.path == "/v1/audit") {
+        receive_view(request, core::view_kind::audit);
+    } else if (request.path == "/metrics") {
+        const auto text = metrics_();
+        server_->answer(request.number, {.content_type = "text/plain; version=0.0.4", .body = text});
+    } else if (request.path == "/healthz") {
+        server_->answer(request.number, {.body = "{}"});
+    } else {
+        answer_error(request.number, detail::no_such_endpoint(request));
+    }
+}
+
+void front_logic::receive_call(const net::http_request& request, std::string_view service,
+                               call_kind kind) {
+    auto call = pipeline_(arrived_call{.kind = kind,
+                                       .authorization = request.authorization,
+                                       .service = service,
+                                       .body = request.body});
+    if (!call.ok()) {
+        answer_error(request.number, call.status());
+        return;
+    }
+    forward(request, job_arrived{address_of(request), std::move(call->job)});
+}
+
+void front_logic::receive_id_request(const net::http_request& request) {
+    const auto holder = find_principal(options_.credentials, request.authorization);
+    auto service = http::decode_service_name(request.body);
+    if (!holder.ok() || !service.ok()) {
+        answer_error(request.number, holder.ok() ? service.status() : holder.status());
+        return;
+    }
+    forward(request, id_wanted{address_of(request), *std::move(service)});
+}
+
+void front_logic::receive_target(const net::http_request& request, bool leaving) {
+    auto news = leaving ? http::decode_target_leave(request.body)
+                        : http::decode_target_announcement(request.body);
+    if (!news.ok()) {
+        answer_error(request.number, news.status());
+        return;
+    }
+    forward(request, target_news{address_of(request), *std::move(news)});
+}
+
+void front_logic::receive_edit(const net::http_request& request, std::string_view service) {
+    constexpr core::error_origin origin{.step = "edit_document", .peer = {}};
+    const auto holder = find_principal(options_.credentials, request.authorization);
+    if (!holder.ok()) {
+        answer_error(request.number, holder.status());
+        return;
+    }
+    const auto base = detail::parse_version(request.header("If-Match"));
+    const auto edit_id = request.header("X-Edit-Id");
+    if (!base || edit_id.empty()) {
+        answer_error(request.number,
+                     core::make_error(absl::StatusCode::kInvalidArgument, origin,
+                                      "send the headers If-Match: <version, 0 to create> and "
+                                      "X-Edit-Id: <identifier of this edit>"));
+        return;
+    }
+    auto document = settings::parse_service_document(request.body);
+    if (!document.ok()) {
+        answer_error(request.number, document.status());
+        return;
+    }
+    forward(request,
+            edit_arrived{address_of(request), control::edit_command{
+                                                  .edit_id = std::string{edit_id},
+                                                  .service = std::string{service},
+                                                  .base_version = *base,
+                                                  .document = *std::move(document),
+                                                  .actor = holder->name,
+                                                  .actor_team = holder->team,
+                                                  .wall_time = core::ms_clock::wall_now(),
+                                                  .host = options_.host,
+                                              }});
+}
+
+void front_logic::receive_view(const net::http_request& request, core::view_kind kind) {
+    const auto holder = find_principal(options_.credentials, request.authorization);
+    if (!holder.ok() || holder->kind == settings::role::caller) {
+        answer_error(request.number,
+                     holder.ok() ? core::make_error(absl::StatusCode::kPermissionDenied,
+                                                    {.step = "authenticate", .peer = {}},
+                                                    "a caller's token does not read this")
+                                 : holder.status());
+        return;
+    }
+    forward(request, view_wanted{address_of(request), kind});
+}
+
+void front_logic::show_document(const net::http_request& request, std::string_view service) {
+    const auto holder = find_principal(options_.credentials, request.authorization);
+    if (!holder.ok()) {
+        answer_error(request.number, holder.status());
+        return;
+    }
+    std::string body;
+    if (service.empty()) {
+        for (const auto& document : documents_ ? documents_->documents()
+                                               : std::span<const core::service_document>{}) {
+            body += (body.empty() ? "[" : ",") + settings::to_json(document);
+        }
+        body = body.empty() ? "[]" : body + "]";
+    } else if (const auto* const document = documents_ ? documents_->find(service) : nullptr) {
+        body = settings::to_json(*document);
+    } else {
+        answer_error(request.number, core::make_error(absl::StatusCode::kNotFound,
+                                                      {.step = "show_document", .peer = {}},
+                                                      "this entry host has no such document"));
+        return;
+    }
+    server_->answer(request.number, {.body = body});
+}
+
+void front_logic::handle(front_message incoming) {
+    std::visit([this](auto&& message) { handle(std::forward<decltype(message)>(message)); },
+               std::move(incoming));
+}
+
+void front_logic::handle(const job_answered& answered) {
+    const auto encoded = http::encode_job_answer(answered.answer);
+    server_->answer(answered.request, {.status = encoded.status,
+                                       .body = encoded.body,
+                                       .retry_after = answered.answer.retry_after});
+}
+
+void front_logic::handle(const request_done& done) {
+    if (done.status.ok()) {
+        server_->answer(done.request, {.body = "{}"});
+    } else {
+        answer_error(done.request, done.status);
+    }
+}
+
+void front_logic::handle(const id_issued& issued) {
+    const auto body = http::encode_submission_id(issued.id);
+    server_->answer(issued.request, {.body = body});
+}
+
+void front_logic::handle(const edit_answered& answered) {
+    const auto body = http::encode_edit_answer(detail::result_name(answered.answer.result),
+                                               answered.answer.version);
+    server_->answer(answered.request,
+                    {.status = detail::edit_status(answered.answer.result), .body = body});
+}
+
+void front_logic::handle(const view_ready& ready) {
+    const auto body = http::encode_view(ready.view);
+    server_->answer(ready.request, {.body = body});
+}
+
+void front_logic::handle(documents_changed changed) {
+    documents_ = std::move(changed.documents);
+}
+
+void front_logic::handle(const close_requested& /*close*/) {
+    server_->close(on_idle_);
+}
+
+void front_logic::forward(const net::http_request& request, dispatcher_message to_dispatcher) {
+    if (!to_dispatcher_(std::move(to_dispatcher))) {
+        answer_error(request.number, detail::overloaded());
+    }
+}
+
+void front_logic::answer_error(std::uint64_t request, const absl::Status& error) {
+    const auto encoded = http::encode_error(error);
+    server_->answer(request, {.status = encoded.status, .body = encoded.body});
+}
+
+local_caller front_logic::address_of(const net::http_request& request) const {
+    return {.front_end = options_.number, .request = request.number};
+}
+
+} // namespace hawthornstall::entry
--- /dev/null
+++ b/src/hawthornstall/entry/front_logic.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+/// Loop task of one HTTP front end: decodes, runs the caller pipeline, answers.
+
+#include "hawthornstall/entry/authenticate.hpp"
+#include "hawthornstall/entry/check_limits.hpp"
+#include "hawthornstall/entry/decode_call.hpp"
+#include "hawthornstall/entry/dispatcher_messages.hpp"
+#include "hawthornstall/entry/resolve_service.hpp"
+#include "hawthornstall/net/http_server.hpp"
+#include "hawthornstall/pipeline/pipe.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::entry {
+
+/// What a front end needs to know at its start.
+struct front_options {
+    std::size_t number = 0; ///< Index among the front ends of this host.
+    std::string host;       ///< Name of this entry host.
+    std::string address;    ///< "ip:port" to listen on.
+    std::vector<settings::credential> credentials;
+};
+
+/// Serves callers, targets and operators. Everything that needs the dispatcher's state goes to it
+/// as a message and is answered when its message comes back.
+class front_logic {
+public:
+    using message = front_message;
+
+    /// Hands a message to the dispatcher; false when it is overloaded.
+    using dispatcher_sender = std::function<bool(dispatcher_message)>;
+
+    /// Renders the metrics in the text exposition format.
+    using metrics_source = std::function<std::string()>;
+
+    front_logic(front_options options, dispatcher_sender to_dispatcher, metrics_source metrics,
+                std::function<void()> on_idle);
+
+    void attach(runtime::event_loop& loop);
+    void handle(front_message incoming);
+
+private:
+    using caller_pipeline = pipeline::pipe<authenticate, decode_call, resolve_service, check_limits>;
+
+    void receive(const net::http_request& request);
+    void receive_get(const net::http_request& request);
+    void receive_post(const net::http_request& request);
+    void receive_call(const net::http_request& request, std::string_view service, call_kind kind);
+    void receive_id_request(const net::http_request& request);
+    void receive_target(const net::http_request& request, bool leaving);
+    void receive_edit(const net::http_request& request, std::string_view service);
+    void receive_view(const net::http_request& request, core::view_kind kind);
+    void show_document(const net::http_request& request, std::string_view service);
+
+    void handle(const job_answered& answered);
+    void handle(const request_done& done);
+    void handle(const id_issued& issued);
+    void handle(const edit_answered& answered);
+    void handle(const view_ready& ready);
+    void handle(documents_changed changed);
+    void handle(const close_requested& close);
+
+    void forward(const net::http_request& request, dispatcher_message to_dispatcher);
+    void answer_error(std::uint64_t request, const absl::Status& error);
+    [[nodiscard]] local_caller address_of(const net::http_request& request) const;
+
+    front_options options_;
+    dispatcher_sender to_dispatcher_;
+    metrics_source metrics_;
+    std::function<void()> on_idle_;
+    resolve_service::document_source documents_;
+    caller_pipeline pipeline_;
+    std::unique_ptr<net::http_server> server_;
+};
+
+} // namespace hawthornstall::entry
--- /dev/null
+++ b/src/hawthornstall/entry/peer_message.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+/// Everything that one entry host sends to another.
+
+#include "hawthornstall/entry/forward_messages.hpp"
+#include "hawthornstall/entry/ownership_notice.hpp"
+#include "hawthornstall/journal/messages.hpp"
+
+#include <variant>
+
+namespace hawthornstall::entry {
+
+/// The order of the alternatives is part of the wire format: new ones go to the end.
+using peer_message = std::variant<forward_job, job_done, not_owner, ownership_notice,
+                                  journal::owner_message, journal::replica_message>;
+
+} // namespace hawthornstall::entry
--- /dev/null
+++ b/src/hawthornstall/entry/target_logic.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+/// Loop task that owns the connections to targets.
+
+#include "hawthornstall/entry/shard.hpp"
+#include "hawthornstall/net/http_client.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hawthornstall::entry {
+
+/// Run `task` at `address` on behalf of the shard of `service`.
+struct start_order {
+    std::string service;
+    std::string address; ///< "ip:port".
+    run_task task;
+};
+
+/// How an attempt ended.
+struct task_report {
+    std::string service;
+    std::uint64_t run = 0;
+    task_result result = task_result::lost;
+    std::string body;
+};
+
+/// Sends each start order to its target once and reports its end once.
+class target_logic {
+public:
+    using message = start_order;
+
+    /// Receives the reports, on this task's thread.
+    using receiver = std::function<void(task_report)>;
+
+    explicit target_logic(receiver deliver) : deliver_(std::move(deliver)) {}
+
+    void attach(runtime::event_loop& loop);
+    void handle(const start_order& order);
+
+private:
+    receiver deliver_;
+    std::unique_ptr<net::http_client> client_;
+};
+
+/// Meaning of an exchange with a target: 200 is an answer, 503 promises that the task did not run,
+/// any other status is a definite failure.
+[[nodiscard]] task_result to_task_result(const net::exchange_result& exchange) noexcept;
+
+} // namespace hawthornstall::entry
--- /dev/null
+++ b/src/hawthornstall/http/admin_body.cpp
@@ -0,0 +1,101 @@
+#include "hawthornstall/http/admin_body.hpp"
+
+#include "hawthornstall/http/json_reader.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace hawthornstall::http {
+namespace detail {
+
+nlohmann::json to_json(const core::host_view& host) {
+    nlohmann::json row{{"name", host.name},
+                       {"zone", host.zone},
+                       {"reachable", host.reachable},
+                       {"draining", host.draining},
+                       {"config_revision", host.config_revision},
+                       {"config_age_ms", nullptr},
+                       {"owned", host.owned}};
+    if (host.config_age.count() >= 0) {
+        row["config_age_ms"] = host.config_age.count();
+    }
+    return row;
+}
+
+nlohmann::json to_json(const core::target_view& target) {
+    const auto& news = target.last_news;
+    return {{"name", news.name},
+            {"zone", news.zone},
+            {"rack", news.rack},
+            {"address", news.address},
+            {"services", news.services},
+            {"incarnation", news.incarnation},
+            {"sequence", news.sequence},
+            {"slots", news.capacity.slots},
+            {"cores", news.capacity.cores},
+            {"memory_mb", news.capacity.memory_mb},
+            {"accelerators", news.capacity.accelerators},
+            {"available", target.available},
+            {"reason", target.reason}};
+}
+
+nlohmann::json to_json(const core::shard_view& shard) {
+    return {{"service", shard.service},
+            {"zone", shard.zone},
+            {"serving", shard.serving},
+            {"has_quorum", shard.has_quorum},
+            {"epoch", shard.epoch},
+            {"generation", shard.generation},
+            {"queued_tasks", shard.queued_tasks},
+            {"running_tasks", shard.running_tasks},
+            {"ejected_targets", shard.ejected_targets}};
+}
+
+nlohmann::json to_json(const core::audit_view& record) {
+    return {{"revision", record.revision},
+            {"edit_id", record.edit_id},
+            {"service", record.service},
+            {"actor", record.actor},
+            {"team", record.team},
+            {"from_version", record.from_version},
+            {"to_version", record.to_version},
+            {"wall_time_ms", core::to_count(record.wall_time)},
+            {"host", record.host}};
+}
+
+} // namespace detail
+
+std::string encode_view(const core::admin_view& view) {
+    auto rows = nlohmann::json::array();
+    std::visit(
+        [&](const auto& typed_rows) {
+            for (const auto& row : typed_rows) {
+                rows.push_back(detail::to_json(row));
+            }
+        },
+        view);
+    // Names come from targets and other hosts; replaced rather than refused when not UTF-8.
+    return rows.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+absl::StatusOr<std::string> decode_service_name(std::string_view body) {
+    detail::fault_log log{"decode_service_name"};
+    const auto document = detail::parse_document(body, log);
+    detail::object_reader reader{document, "", log};
+    constexpr std::size_t longest_name = 128;
+    auto service = reader.text("service", detail::presence::required, {1, longest_name});
+    reader.refuse_others();
+    if (!log.status().ok()) {
+        return log.status();
+    }
+    return service;
+}
+
+std::string encode_submission_id(const core::submission_id& id) {
+    return nlohmann::json{{"submission_id", core::to_string(id)}}.dump();
+}
+
+std::string encode_edit_answer(std::string_view result, std::uint64_t version) {
+    return nlohmann::json{{"result", result}, {"version", version}}.dump();
+}
+
+} // namespace hawthornstall::http
--- /dev/null
+++ b/src/hawthornstall/http/admin_body.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+/// JSON bodies of administration answers.
+
+#include "hawthornstall/core/admin_view.hpp"
+#include "hawthornstall/core/submission_id.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace hawthornstall::http {
+
+/// One JSON array with an object per row; times in ms, absent ages as null.
+[[nodiscard]] std::string encode_view(const core::admin_view& view);
+
+/// Reads `{"service":"…"}`.
+[[nodiscard]] absl::StatusOr<std::string> decode_service_name(std::string_view body);
+
+/// Writes `{"submission_id":"…"}`.
+[[nodiscard]] std::string encode_submission_id(const core::submission_id& id);
+
+/// Writes `{"result":"accepted","version":n}`.
+[[nodiscard]] std::string encode_edit_answer(std::string_view result, std::uint64_t version);
+
+} // namespace hawthornstall::http
