Add the decision code of the owner of one (service, zone)

The scheduler takes jobs, targets, ends of attempts and the time, and returns starts, stops and ends of jobs. Capacity is reserved when a start is decided, because the dispatcher writes a start record before it sends the task.

Queue order, capacity model, placement and admission are template parameters with concepts.

Ruled out: a sorted tree of targets by speed (it tells apart speeds that the estimates cannot, and a pick walks it), and queue entries per task (cancelling a job would cost as much as its queued tasks).

--- /dev/null
+++ b/src/hawthornstall/scheduling/scheduler_impl.hpp
@@ -0,0 +1,400 @@
+#pragma once
+
+/// Member functions of scheduler; included by scheduler.hpp only.
+
+#include "hawthornstall/scheduling/scheduler.hpp"
+
+namespace hawthornstall::scheduling {
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+void scheduler<Order, Capacity, Placement, Admission>::submit(job_id id, const job_terms& terms,
+                                                              core::time_ms now) {
+    auto owned = std::make_unique<job_state>();
+    auto& job = *owned;
+    job.id = id;
+    job.team = queue_.intern_team(terms.team);
+    job.idempotent = terms.idempotent;
+    job.single = terms.single;
+    job.arrival = now;
+    job.deadline = terms.deadline;
+    job.sequence = next_sequence_++;
+    for (const auto declared : terms.declared_run_times) {
+        job.declared_ms.push_back(
+            static_cast<std::uint32_t>(std::clamp<std::int64_t>(declared.count(), 0, UINT32_MAX)));
+    }
+    job.attempts.resize(job.declared_ms.size());
+    if (const auto refused = refuse(job, now)) {
+        pending_.ends.push_back(
+            {id, core::outcome_class::refused_not_run, refused->reason, refused->retry_after});
+        return;
+    }
+    if (job.task_count() == 0) {
+        pending_.ends.push_back({id, core::outcome_class::answered, end_reason::none, {}});
+        return;
+    }
+    // A job that cannot end in time any more is refused while the caller still waits.
+    const auto run_time = core::duration_ms{static_cast<std::int64_t>(longest_learned_ms(job))};
+    const auto margin = std::clamp(run_time, core::duration_ms{1},
+                                   std::max(core::duration_ms{1}, (job.deadline - now) / 2));
+    job.timeout = job.deadline - margin;
+    timers_.emplace(job_timer{job.timeout, job.sequence}, &job);
+    queue_.update(job);
+    jobs_.emplace(id, std::move(owned));
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+auto scheduler<Order, Capacity, Placement, Admission>::refuse(const job_state& job,
+                                                              core::time_ms now) const
+    -> std::optional<refusal> {
+    const std::uint64_t tasks = job.task_count();
+    const std::uint64_t queue_limit = quota_.max_queued_tasks;
+    const std::uint64_t team_limit = team_share(quota_.max_queued_tasks);
+    if (pool_.known() > 0 && !pool_.any_holds()) {
+        return refusal{end_reason::cannot_ever_run, {}};
+    }
+    if (job.deadline <= now) {
+        return refusal{end_reason::deadline, {}};
+    }
+    if (queue_.pending() + tasks > queue_limit ||
+        queue_.pending_of(job.team) + tasks > team_limit) {
+        // A job larger than the quota never fits, so it gets no hint.
+        const bool never = tasks > std::min(queue_limit, team_limit);
+        return refusal{end_reason::queue_quota, never ? core::duration_ms{} : expected_drain()};
+    }
+    const admission_request request{
+        .time_left = job.deadline - now,
+        .tasks_before = queue_.pending_before(job.team, {job.arrival, job.task_count()}),
+        .tasks = job.task_count(),
+        .mean_ms = model_.mean_ms(),
+        .speed = pool_.usable_speed(),
+        .longest_ms = longest_learned_ms(job),
+    };
+    if (const auto retry_after = admission_.refuse(request)) {
+        return refusal{end_reason::expected_wait, *retry_after};
+    }
+    return std::nullopt;
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+core::duration_ms scheduler<Order, Capacity, Placement, Admission>::expected_drain() const {
+    if (pool_.usable_speed() <= 0.0) {
+        return core::duration_ms{1000}; // One lease renewal: the next time targets may appear.
+    }
+    const double ms =
+        static_cast<double>(queue_.pending()) * model_.mean_ms() / pool_.usable_speed();
+    return core::duration_ms{static_cast<std::int64_t>(ms) + 1};
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+double
+scheduler<Order, Capacity, Placement, Admission>::longest_learned_ms(const job_state& job) const {
+    const double speed = pool_.usable_slots() == 0
+                             ? 1.0
+                             : pool_.usable_speed() / static_cast<double>(pool_.usable_slots());
+    double longest = 0.0;
+    for (std::uint32_t task = 0; task < job.task_count(); ++task) {
+        if (model_.is_learned(job.team, job.declared(task))) {
+            longest = std::max(longest, model_.expected_ms(job.team, job.declared(task)) / speed);
+        }
+    }
+    return longest;
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+void scheduler<Order, Capacity, Placement, Admission>::release(attempt_id id,
+                                                               attempt_state& attempt) {
+    const auto target = attempt.target;
+    if (attempt.hedge_at) {
+        hedges_.erase({*attempt.hedge_at, id});
+    }
+    if (attempt.twin) {
+        if (auto* twin = attempts_.find(*attempt.twin)) {
+            twin->twin.reset();
+        }
+    }
+    queue_.end_attempt(attempt.team);
+    attempts_.erase(id);
+    pool_.end_attempt(target);
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+void scheduler<Order, Capacity, Placement, Admission>::not_sent(attempt_id id, not_sent_cause cause,
+                                                                core::time_ms now) {
+    auto* attempt = attempts_.find(id);
+    if (attempt == nullptr) {
+        return;
+    }
+    if (cause == not_sent_cause::target) {
+        pool_.on_failure(attempt->target, now);
+    } else if (cause == not_sent_cause::journal) {
+        no_start_before_ = now + tuning_.journal_pause;
+    }
+    auto* job = attempt->job;
+    const bool alone = !attempt->twin;
+    const returned_task task{attempt->task, cause == not_sent_cause::target
+                                                ? std::optional{attempt->target}
+                                                : std::nullopt};
+    release(id, *attempt);
+    if (job != nullptr && alone) {
+        job->returned.push_back(task);
+        queue_.update(*job);
+    }
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+void scheduler<Order, Capacity, Placement, Admission>::finished(attempt_id id,
+                                                                attempt_result result,
+                                                                core::time_ms now) {
+    auto* found = attempts_.find(id);
+    if (found == nullptr) {
+        return;
+    }
+    const attempt_state attempt = *found;
+    switch (result) {
+    case attempt_result::answered:
+        budget_.on_success();
+        model_.observe(attempt.team, attempt.declared, now - attempt.begin,
+                       pool_.speed(attempt.target));
+        pool_.on_success(attempt.target);
+        break;
+    case attempt_result::not_run:
+        pool_.pause(attempt.target, now + tuning_.busy_pause);
+        break;
+    case attempt_result::failed:
+    case attempt_result::lost:
+        // A stopped attempt ends without an answer; that says nothing about the target.
+        if (attempt.job != nullptr) {
+            pool_.on_failure(attempt.target, now);
+        }
+        break;
+    }
+    auto* twin = attempt.twin ? attempts_.find(*attempt.twin) : nullptr;
+    release(id, *found);
+    if (attempt.job == nullptr) {
+        return;
+    }
+    attempt.job->ran = attempt.job->ran || result != attempt_result::not_run;
+    if (twin != nullptr && twin->job != nullptr) {
+        if (result != attempt_result::answered) {
+            return; // The other attempt decides.
+        }
+        stop(*attempt.twin, *twin);
+    }
+    settle(*attempt.job, attempt.task, result, attempt.target);
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+void scheduler<Order, Capacity, Placement, Admission>::settle(job_state& job, std::uint32_t task,
+                                                              attempt_result result,
+                                                              target_id target) {
+    if (result == attempt_result::answered) {
+        if (++job.answered == job.task_count()) {
+            end_job(job, {job.id, core::outcome_class::answered, end_reason::none, {}});
+        } else if (job.queue_key) {
+            queue_.update(job);
+        }
+        return;
+    }
+    const bool repeatable =
+        result == attempt_result::not_run ||
+        (may_retry(job, task) && (result == attempt_result::failed || job.single));
+    if (repeatable && budget_.try_spend()) {
+        job.returned.push_back({task, target});
+        queue_.update(job);
+        return;
+    }
+    if (result == attempt_result::lost) {
+        job.lost = true;
+        end_unanswered(job, end_reason::attempt_lost);
+        return;
+    }
+    end_unanswered(job, repeatable ? end_reason::retry_budget : end_reason::task_failed,
+                   repeatable ? expected_drain() : core::duration_ms{});
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+void scheduler<Order, Capacity, Placement, Admission>::end_unanswered(
+    job_state& job, end_reason reason, core::duration_ms retry_after) {
+    const bool in_flight = job.first_attempt.has_value();
+    const bool definite = reason == end_reason::task_failed || reason == end_reason::retry_budget;
+    auto outcome = core::outcome_class::refused_not_run;
+    if (job.lost || (in_flight && !(definite && job.ran))) {
+        outcome = core::outcome_class::may_have_run;
+    } else if (job.ran) {
+        outcome = core::outcome_class::failed;
+    }
+    end_job(job, {job.id, outcome, reason, retry_after});
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+void scheduler<Order, Capacity, Placement, Admission>::end_job(job_state& job,
+                                                               const end_decision& end) {
+    while (job.first_attempt) {
+        const auto id = attempts_.id_at(*job.first_attempt);
+        stop(id, *attempts_.find(id));
+    }
+    queue_.remove(job);
+    timers_.erase({job.timeout, job.sequence});
+    pending_.ends.push_back(end);
+    jobs_.erase(end.job);
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+void scheduler<Order, Capacity, Placement, Admission>::stop(attempt_id id, attempt_state& attempt) {
+    if (attempt.hedge_at) {
+        hedges_.erase({*attempt.hedge_at, id});
+        attempt.hedge_at.reset();
+    }
+    attempts_.detach(id);
+    pending_.stops.push_back({id, attempt.target});
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+void scheduler<Order, Capacity, Placement, Admission>::expire_jobs(core::time_ms now) {
+    while (!timers_.empty() && timers_.begin()->first.first <= now) {
+        auto& job = *timers_.begin()->second;
+        const bool may_have_started = job.ran || job.first_attempt;
+        if (may_have_started && now < job.deadline) {
+            set_timer(job, job.deadline);
+        } else {
+            end_unanswered(job, end_reason::deadline, expected_drain());
+        }
+    }
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+std::optional<target_id>
+scheduler<Order, Capacity, Placement, Admission>::place(const job_state& job, core::time_ms now) {
+    const auto task = job.front();
+    if (const auto probe = pool_.take_probe(may_retry(job, task.task), now)) {
+        return probe;
+    }
+    const placement_choice choice{
+        .mean_ms = model_.mean_ms(),
+        .expected_ms = model_.expected_ms(job.team, job.declared(task.task)),
+        .pending = queue_.pending(),
+        .held_ms = held_since_ ? static_cast<double>((now - *held_since_).count()) : 0.0,
+    };
+    return pool_.pick(placement_, choice, task.avoid);
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+void scheduler<Order, Capacity, Placement, Admission>::start_tasks(core::time_ms now) {
+    if (now < no_start_before_) {
+        return;
+    }
+    while (attempts_.size() < quota_.max_running_tasks) {
+        auto* job = queue_.front();
+        if (job == nullptr) {
+            held_since_.reset();
+            return;
+        }
+        const auto target = place(*job, now);
+        if (!target) {
+            if (!pool_.any_free()) {
+                held_since_.reset();
+            } else if (!held_since_) {
+                held_since_ = now;
+            }
+            return;
+        }
+        const auto expected = model_.expected_ms(job->team, job->declared(job->front().task));
+        const auto task = queue_.take_task(*job, expected);
+        start(*job, task.task, *target, now);
+    }
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+attempt_id
+scheduler<Order, Capacity, Placement, Admission>::start(job_state& job, std::uint32_t task,
+                                                        target_id target, core::time_ms now) {
+    attempt_state attempt;
+    attempt.job = &job;
+    attempt.team = job.team;
+    attempt.task = task;
+    attempt.declared = job.declared(task);
+    attempt.target = target;
+    attempt.begin = now;
+    const auto number = ++job.attempts[task];
+    if (retry_.hedge && may_retry(job, task)) {
+        const double expected =
+            model_.expected_ms(job.team, attempt.declared) / pool_.speed(target).value();
+        attempt.hedge_at =
+            now + core::duration_ms{static_cast<std::int64_t>(expected * tuning_.hedge_factor) + 1};
+    }
+    const auto id = attempts_.add(attempt);
+    if (attempt.hedge_at) {
+        hedges_.insert({*attempt.hedge_at, id});
+    }
+    pool_.begin_attempt(target);
+    pending_.starts.push_back({id, job.id, task, number, target});
+    return id;
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+void scheduler<Order, Capacity, Placement, Admission>::hedge_stragglers(core::time_ms now) {
+    while (!hedges_.empty() && hedges_.begin()->first <= now) {
+        const auto id = hedges_.begin()->second;
+        hedges_.erase(hedges_.begin());
+        auto& attempt = *attempts_.find(id);
+        attempt.hedge_at.reset();
+        // Queued tasks need the free targets more than a second attempt does.
+        if (queue_.pending() > 0 || now < no_start_before_ ||
+            attempts_.size() >= quota_.max_running_tasks) {
+            continue;
+        }
+        const auto slow = attempt.target;
+        const auto target = pool_.pick(fastest_free{}, {}, slow);
+        if (!target || *target == slow || !budget_.try_spend()) {
+            continue;
+        }
+        queue_.begin_attempt(attempt.team);
+        const auto hedge = start(*attempt.job, attempt.task, *target, now);
+        // The table may have moved its entries.
+        attempts_.find(id)->twin = hedge;
+        attempts_.find(hedge)->twin = id;
+    }
+}
+
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+std::optional<core::time_ms>
+scheduler<Order, Capacity, Placement, Admission>::next_call(core::time_ms now) const {
+    std::optional<core::time_ms> next = pool_.next_event();
+    const auto consider = [&next](core::time_ms time) {
+        next = next ? std::min(*next, time) : time;
+    };
+    if (!timers_.empty()) {
+        consider(timers_.begin()->first.first);
+    }
+    if (!hedges_.empty()) {
+        consider(hedges_.begin()->first);
+    }
+    if (queue_.pending() > 0 && now < no_start_before_) {
+        consider(no_start_before_);
+    }
+    if (held_since_) {
+        // Half a mean run time is short against the wait that the placement accepts.
+        consider(now + core::duration_ms{std::max<std::int64_t>(
+                           1, static_cast<std::int64_t>(model_.mean_ms() / 2))});
+    }
+    return next;
+}
+
+} // namespace hawthornstall::scheduling
--- /dev/null
+++ b/tests/hawthornstall/scheduling/job_queue_test.cpp
@@ -0,0 +1,97 @@
+#include "hawthornstall/scheduling/job_queue.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace hawthornstall::scheduling {
+namespace {
+
+/// A queued job of a table: its team, arrival and number of tasks.
+struct queued {
+    std::string_view team;
+    std::int64_t arrival = 0;
+    std::uint32_t tasks = 0;
+};
+
+/// Order in which the jobs get their starts, one letter per start ('a' is the first job). Each
+/// start is answered at once.
+template <queue_order Order>
+std::string start_order(const std::vector<queued>& table, std::size_t starts) {
+    job_queue<Order> queue;
+    std::vector<job_state> jobs(table.size());
+    for (std::size_t index = 0; index < table.size(); ++index) {
+        auto& job = jobs[index];
+        job.team = queue.intern_team(table[index].team);
+        job.sequence = index;
+        job.arrival = core::from_count(table[index].arrival);
+        job.declared_ms.resize(table[index].tasks);
+        queue.update(job);
+    }
+    std::string order;
+    while (order.size() < starts && queue.front() != nullptr) {
+        auto& job = *queue.front();
+        order += static_cast<char>('a' + (&job - jobs.data()));
+        queue.take_task(job, 100.0);
+        queue.end_attempt(job.team);
+        ++job.answered;
+        queue.update(job);
+    }
+    return order;
+}
+
+// Guards against an order that starves a job or a team.
+TEST_CASE("each order starts tasks in its own sequence") {
+    const std::vector<queued> sizes{{"t", 0, 4}, {"t", 1, 1}, {"t", 2, 2}};
+    CHECK(start_order<first_in_first_out>(sizes, 9) == "aaaabcc");
+    CHECK(start_order<fewest_remaining>(sizes, 9) == "bccaaaa");
+    // 100 tasks count like 1,000 ms, so a single task that comes 1,001 ms later goes behind.
+    const std::vector<queued> aged{{"t", 0, 100}, {"t", 1'001, 1}};
+    CHECK(start_order<fewest_remaining>(aged, 2) == "aa");
+    const std::vector<queued> teams{{"t", 0, 4}, {"t", 0, 4}, {"u", 1, 3}};
+    CHECK(start_order<fair_share>(teams, 8) == "acacacab");
+}
+
+// Guards against a team that occupies everything while others wait.
+TEST_CASE("a team at its limit is passed over until an attempt ends") {
+    job_queue<first_in_first_out> queue;
+    std::array<job_state, 2> jobs;
+    for (std::size_t index = 0; index < jobs.size(); ++index) {
+        jobs.at(index).team = queue.intern_team(index == 0 ? "greedy" : "modest");
+        jobs.at(index).sequence = index;
+        jobs.at(index).declared_ms.resize(5);
+        queue.update(jobs.at(index));
+    }
+    queue.set_team_limit(2);
+    queue.take_task(jobs[0], 1.0);
+    CHECK(queue.front() == jobs.data());
+    queue.take_task(jobs[0], 1.0);
+    CHECK(queue.front() == &jobs[1]);
+    queue.end_attempt(jobs[0].team);
+    CHECK(queue.front() == jobs.data());
+}
+
+// Guards against counts that drift when jobs change while they are queued.
+TEST_CASE("the pending counts follow every change") {
+    job_queue<fewest_remaining> queue;
+    job_state job;
+    job.team = queue.intern_team("t");
+    job.declared_ms.resize(10);
+    queue.update(job);
+    CHECK(queue.pending() == 10);
+    queue.take_task(job, 1.0);
+    job.returned.push_back({0, std::nullopt});
+    queue.update(job);
+    CHECK(queue.pending() == 10);
+    CHECK(queue.pending_before(job.team, {core::from_count(0), 100}) == 10);
+    CHECK(queue.pending_before(job.team, {core::from_count(-10'000), 1}) == 0);
+    queue.remove(job);
+    CHECK(queue.pending() == 0);
+    CHECK(queue.pending_of(job.team) == 0);
+    CHECK(queue.front() == nullptr);
+}
+
+} // namespace
+} // namespace hawthornstall::scheduling
--- /dev/null
+++ b/tests/hawthornstall/scheduling/target_pool_test.cpp
@@ -0,0 +1,142 @@
+#include "hawthornstall/scheduling/slot_capacity.hpp"
+#include "hawthornstall/scheduling/target_pool.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace hawthornstall::scheduling {
+namespace {
+
+using core::duration_ms;
+using pool_type = target_pool<slot_capacity>;
+
+constexpr core::time_ms start_time = core::from_count(1'000);
+
+std::vector<target_id> add_targets(pool_type& pool, std::size_t count) {
+    std::vector<target_id> targets;
+    for (std::size_t index = 0; index < count; ++index) {
+        targets.push_back(pool.upsert("target-" + std::to_string(index), {.slots = 8}, true));
+    }
+    return targets;
+}
+
+/// Gives a target the learned speed `value`.
+void teach_speed(pool_type& pool, target_id target, double value) {
+    for (int sample = 0; sample < 200; ++sample) {
+        pool.speed(target).observe(1.0 / value);
+    }
+    pool.on_success(target);
+}
+
+// Guards against ejecting so many targets that the rest is overloaded.
+TEST_CASE("at most 30 % of the known targets are ejected") {
+    struct scenario {
+        std::size_t known;
+        std::size_t failing;
+        std::size_t ejected;
+    };
+    const std::array scenarios{scenario{10, 2, 2}, scenario{10, 10, 3}, scenario{50, 50, 15},
+                               scenario{3, 3, 0}};
+    for (const auto& item : scenarios) {
+        CAPTURE(item.known);
+        CAPTURE(item.failing);
+        pool_type pool{core::task_shape{}, ejection_rules{}};
+        const auto targets = add_targets(pool, item.known);
+        for (int round = 0; round < 5; ++round) {
+            for (std::size_t index = 0; index < item.failing; ++index) {
+                pool.on_failure(targets[index], start_time);
+            }
+        }
+        CHECK(pool.excluded() == item.ejected);
+        CHECK(pool.pick(fastest_free{}, {}, std::nullopt).has_value());
+    }
+}
+
+// Guards against a target that is readmitted with all its slots while it still fails, and against
+// one that never comes back.
+TEST_CASE("an ejected target gets single probes at growing intervals until it answers") {
+    pool_type pool{core::task_shape{}, ejection_rules{}};
+    const auto targets = add_targets(pool, 10);
+    const auto bad = targets[0];
+    auto now = start_time;
+    for (int failure = 0; failure < 3; ++failure) {
+        pool.on_failure(bad, now);
+    }
+    for (const auto expected : {duration_ms{1'000}, duration_ms{2'000}, duration_ms{4'000}}) {
+        CHECK(pool.next_event() == now + expected);
+        pool.advance(now + expected - duration_ms{1});
+        CHECK_FALSE(pool.take_probe(true, now).has_value());
+        now += expected;
+        pool.advance(now);
+        CHECK_FALSE(pool.take_probe(false, now).has_value());
+        CHECK(pool.take_probe(true, now) == bad);
+        pool.begin_attempt(bad);
+        CHECK_FALSE(pool.take_probe(true, now).has_value());
+        CHECK(pool.excluded() == 1);
+        pool.on_failure(bad, now);
+        pool.end_attempt(bad);
+    }
+    now += duration_ms{8'000};
+    pool.advance(now);
+    CHECK(pool.take_probe(true, now) == bad);
+    pool.begin_attempt(bad);
+    pool.on_success(bad);
+    pool.end_attempt(bad);
+    CHECK(pool.excluded() == 0);
+    CHECK_FALSE(pool.next_event().has_value());
+}
+
+// Guards against tasks that crawl on a slow target while a fast one is about to be free, and
+// against slow targets that stay idle while the queue is long.
+TEST_CASE("a slow target is used only when it ends a task earlier") {
+    struct scenario {
+        std::uint64_t pending;
+        double held_ms;
+        bool slow_target_used;
+    };
+    // One busy slot of speed 2 and a free one of speed 0.5, tasks of 100 ms at speed 1: the fast
+    // slot ends the n-th queued task after 50 n + 50 ms on average, the slow one after 200 ms.
+    const std::array scenarios{scenario{1, 0.0, false}, scenario{2, 0.0, false},
+                               scenario{4, 0.0, true}, scenario{1, 250.0, true}};
+    for (const auto& item : scenarios) {
+        CAPTURE(item.pending);
+        pool_type pool{core::task_shape{}, ejection_rules{}};
+        const auto fast = pool.upsert("fast", {.slots = 1}, true);
+        const auto slow = pool.upsert("slow", {.slots = 1}, true);
+        teach_speed(pool, fast, 2.0);
+        teach_speed(pool, slow, 0.5);
+        const placement_choice choice{.mean_ms = 100.0,
+                                      .expected_ms = 100.0,
+                                      .pending = item.pending,
+                                      .held_ms = item.held_ms};
+        CHECK(pool.pick(wait_for_faster{}, choice, std::nullopt) == fast);
+        pool.begin_attempt(fast);
+        CHECK(pool.pick(fastest_free{}, choice, std::nullopt) == slow);
+        const auto picked = pool.pick(wait_for_faster{}, choice, std::nullopt);
+        CHECK(picked.has_value() == item.slow_target_used);
+    }
+}
+
+// Guards against new work on a target that left, and against a number that is reused while an
+// attempt still refers to it.
+TEST_CASE("a target that leaves gets no work and keeps its number until its last attempt ends") {
+    pool_type pool{core::task_shape{}, ejection_rules{}};
+    const auto first = pool.upsert("first", {.slots = 2}, true);
+    pool.begin_attempt(first);
+    pool.upsert("first", {.slots = 2}, false);
+    CHECK_FALSE(pool.any_free());
+    CHECK(pool.usable_slots() == 0);
+    pool.remove("first");
+    const auto second = pool.upsert("second", {.slots = 2}, true);
+    CHECK(second != first);
+    pool.end_attempt(first);
+    CHECK(pool.upsert("third", {.slots = 2}, true) == first);
+    CHECK(pool.known() == 2);
+    CHECK(pool.usable_slots() == 4);
+}
+
+} // namespace
+} // namespace hawthornstall::scheduling
