Add the JSON bodies of jobs, targets and errors with a corpus

Front ends need bodies that map to the typed requests without loss and that refuse anything unclear before it runs. nlohmann-json accepts repeated fields (the last one wins) and unlimited nesting; a parser callback refuses both. A result that is not UTF-8 would have to be changed to be carried, so the job is answered as failed instead. Unknown fields are refused in requests, where they are most likely misspelt, and ignored in announcements, since targets and entry hosts are upgraded separately.

Ruled out: replacing invalid bytes in results, which changes an answer silently.

--- /dev/null
+++ b/tests/hawthornstall/http/corpus_test.cpp
@@ -0,0 +1,138 @@
+#include "hawthornstall/http/error_body.hpp"
+#include "hawthornstall/http/job_body.hpp"
+#include "hawthornstall/http/target_body.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <cstddef>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace hawthornstall::http {
+namespace {
+
+/// Decodes `body`; true when it is accepted and the value it holds survives a second round.
+using decoder = bool (*)(std::string_view body);
+
+struct corpus_case {
+    std::string folder;
+    decoder accepts;
+};
+
+bool accepts_job_request(std::string_view body) {
+    constexpr job_context context{.service = "s", .caller = "c"};
+    const auto first = decode_job_request(body, context);
+    if (!first.ok()) {
+        CHECK_FALSE(first.status().message().empty());
+        return false;
+    }
+    const auto encoded = encode_job_request(*first);
+    REQUIRE(encoded.ok());
+    CHECK(*decode_job_request(*encoded, context) == *first);
+    return true;
+}
+
+bool accepts_job_answer(std::string_view body) {
+    const auto first = decode_job_answer(body);
+    if (first.ok()) {
+        CHECK(*decode_job_answer(encode_job_answer(*first).body) == *first);
+    }
+    return first.ok();
+}
+
+bool accepts_announcement(std::string_view body) {
+    const auto first = decode_target_announcement(body);
+    if (first.ok()) {
+        CHECK(*decode_target_announcement(*encode_target_announcement(*first)) == *first);
+    }
+    return first.ok();
+}
+
+bool accepts_error(std::string_view body) {
+    return decode_error(body).ok();
+}
+
+const std::array decoders{
+    corpus_case{"job_request", accepts_job_request},
+    corpus_case{"job_answer", accepts_job_answer},
+    corpus_case{"target_announcement", accepts_announcement},
+    corpus_case{"error", accepts_error},
+};
+
+struct corpus_file {
+    std::string name;
+    std::string bytes;
+};
+
+std::vector<corpus_file> read_folder(const std::string& folder) {
+    std::vector<corpus_file> files;
+    const auto path = std::filesystem::path{HAWTHORNSTALL_CORPUS} / folder;
+    for (const auto& entry : std::filesystem::directory_iterator{path}) {
+        std::ifstream file{entry.path(), std::ios::binary};
+        files.push_back({entry.path().filename().string(),
+                         {std::istreambuf_iterator<char>{file}, std::istreambuf_iterator<char>{}}});
+    }
+    REQUIRE_FALSE(files.empty());
+    return files;
+}
+
+// Guards against crashes, hangs and half-read documents on hostile bodies. Files whose name starts
+// with "valid" must be accepted, all others refused.
+TEST_CASE("each decoder judges its corpus") {
+    for (const auto& test : decoders) {
+        for (const auto& file : read_folder(test.folder)) {
+            CAPTURE(test.folder);
+            CAPTURE(file.name);
+            CHECK(test.accepts(file.bytes) == file.name.starts_with("valid"));
+        }
+    }
+}
+
+// Guards against a decoder that accepts a cut document or that crashes on another one's bodies.
+TEST_CASE("decoders survive cut and foreign documents") {
+    for (const auto& source : decoders) {
+        for (const auto& file : read_folder(source.folder)) {
+            CAPTURE(file.name);
+            const auto whole = std::string_view{file.bytes};
+            for (std::size_t length = 0; length < whole.size(); length += 1 + whole.size() / 512) {
+                for (const auto& target : decoders) {
+                    target.accepts(whole.substr(0, length));
+                }
+                const bool is_document = whole.find_first_not_of(" \n", length) != whole.npos;
+                if (file.name.starts_with("valid") && is_document) {
+                    CHECK_FALSE(source.accepts(whole.substr(0, length)));
+                }
+            }
+        }
+    }
+}
+
+// Guards against crashes on damaged documents; the seed is fixed, so that a failure repeats.
+TEST_CASE("decoders survive damaged documents") {
+    constexpr std::uint32_t seed = 20261204;
+    constexpr int rounds = 200;
+    std::mt19937 random{seed};
+    for (const auto& test : decoders) {
+        for (const auto& file : read_folder(test.folder)) {
+            if (file.bytes.empty()) {
+                continue;
+            }
+            std::uniform_int_distribution<std::size_t> position{0, file.bytes.size() - 1};
+            std::uniform_int_distribution<int> byte{0, 255};
+            for (int round = 0; round < rounds; ++round) {
+                auto damaged = file.bytes;
+                damaged[position(random)] = static_cast<char>(byte(random));
+                damaged.erase(position(random) / 2, static_cast<std::size_t>(round % 3));
+                test.accepts(damaged);
+            }
+        }
+    }
+}
+
+} // namespace
+} // namespace hawthornstall::http
