--- a/src/hawthornstall/control/entry_message_layouts.hpp
+++ b/src/hawthornstall/control/entry_message_layouts.hpp
@@ -7,27 +7,23 @@
 
 namespace hawthornstall::wire {
 
-template <>
-struct layout<control::edit_request> {
+template <> struct layout<control::edit_request> {
     static constexpr auto members =
         std::tuple{&control::edit_request::number, &control::edit_request::edit};
 };
 
-template <>
-struct layout<control::edit_reply> {
+template <> struct layout<control::edit_reply> {
     static constexpr auto members =
         std::tuple{&control::edit_reply::number, &control::edit_reply::answer};
 };
 
-template <>
-struct layout<control::audit_request> {
+template <> struct layout<control::audit_request> {
     static constexpr auto members =
         std::tuple{&control::audit_request::number, &control::audit_request::after_revision,
                    &control::audit_request::limit};
 };
 
-template <>
-struct layout<control::audit_reply> {
+template <> struct layout<control::audit_reply> {
     static constexpr auto members =
         std::tuple{&control::audit_reply::number, &control::audit_reply::records};
 };
--- a/src/hawthornstall/core/admin_view.hpp
+++ b/src/hawthornstall/core/admin_view.hpp
@@ -18,9 +18,9 @@
     std::string zone;
     bool reachable = false;
     bool draining = false;
-    std::uint64_t config_revision = 0;  ///< Last revision that the host said it applied.
-    duration_ms config_age{-1};         ///< Age of its last confirmation; -1 when unknown.
-    std::vector<std::string> owned;     ///< Services whose queue it owns in its zone.
+    std::uint64_t config_revision = 0; ///< Last revision that the host said it applied.
+    duration_ms config_age{-1};        ///< Age of its last confirmation; -1 when unknown.
+    std::vector<std::string> owned;    ///< Services whose queue it owns in its zone.
 };
 
 /// One target as this entry host knows it.
--- /dev/null
+++ b/src/hawthornstall/entry/config_client.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+/// Entry host's side of the configuration: follows a control host and brings edits to it.
+
+#include "hawthornstall/control/applied_documents.hpp"
+#include "hawthornstall/control/entry_messages.hpp"
+#include "hawthornstall/entry/reply_address.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace hawthornstall::entry {
+
+/// Send `message` to a control host.
+struct control_out {
+    std::string host;
+    control::entry_to_control message;
+};
+
+/// An edit ended. An error means that its fate is unknown and that it is safe to send it again
+/// under the same identifier.
+struct edit_ended {
+    local_caller caller;
+    absl::StatusOr<control::edit_answer> answer;
+};
+
+/// The audit records that were asked for.
+struct audit_ended {
+    local_caller caller;
+    absl::StatusOr<std::vector<control::audit_record>> records;
+};
+
+/// The documents in force on this host changed.
+struct documents_updated {};
+
+using config_effect = std::variant<control_out, edit_ended, audit_ended, documents_updated>;
+using config_effects = std::vector<config_effect>;
+
+/// Pure state machine, owned by the dispatcher.
+class config_client {
+public:
+    explicit config_client(std::vector<std::string> control_hosts);
+
+    [[nodiscard]] config_effects
+    handle(std::string_view host, const control::control_to_entry& message, core::time_ms now);
+
+    /// Follows another control host, resends and gives up what is overdue.
+    [[nodiscard]] config_effects tick(core::time_ms now);
+
+    [[nodiscard]] config_effects edit(const local_caller& caller, control::edit_command command,
+                                      core::time_ms now);
+    [[nodiscard]] config_effects audit(const local_caller& caller, core::time_ms now);
+
+    /// Takes documents saved by an earlier process of this host.
+    void restore(const control::config_delta& saved) { documents_.apply(saved); }
+
+    [[nodiscard]] const control::applied_documents& documents() const noexcept {
+        return documents_;
+    }
+
+private:
+    struct open_request {
+        local_caller caller;
+        control::entry_to_control message;
+        core::time_ms deadline{};
+        core::time_ms next_send{};
+        std::size_t host = 0; ///< Index of the control host to ask next.
+    };
+
+    void receive(std::string_view host, const control::config_delta& delta, core::time_ms now);
+    void receive(std::string_view host, const control::config_digest& digest, core::time_ms now);
+    void receive(std::string_view host, const control::edit_reply& reply, core::time_ms now);
+    void receive(std::string_view host, const control::audit_reply& reply, core::time_ms now);
+    void follow_next(core::time_ms now);
+    void subscribe(std::uint64_t revision, core::time_ms now);
+    void send(open_request& request, core::time_ms now);
+    void give_up(const open_request& request);
+    [[nodiscard]] std::string_view followed() const { return control_hosts_.at(followed_); }
+
+    std::vector<std::string> control_hosts_;
+    control::applied_documents documents_;
+    std::size_t followed_ = 0;
+    core::time_ms last_heard_{};
+    core::time_ms last_subscribed_{};
+    bool subscribed_ = false;
+    std::uint64_t last_number_ = 0;
+    std::map<std::uint64_t, open_request> requests_;
+    config_effects effects_;
+};
+
+} // namespace hawthornstall::entry
--- a/src/hawthornstall/entry/decode_call.cpp
+++ b/src/hawthornstall/entry/decode_call.cpp
@@ -7,8 +7,8 @@
 namespace hawthornstall::entry {
 
 absl::StatusOr<decoded_call> decode_call::operator()(const authenticated_call& call) const {
-    auto job = http::decode_job_request(
-        call.call.body, {.service = call.call.service, .caller = call.caller.name});
+    auto job = http::decode_job_request(call.call.body,
+                                        {.service = call.call.service, .caller = call.caller.name});
     if (!job.ok()) {
         return job.status();
     }
--- /dev/null
+++ b/src/hawthornstall/entry/dispatcher.cpp
@@ -0,0 +1,246 @@
+#include "hawthornstall/entry/dispatcher.hpp"
+
+#include "hawthornstall/core/error.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornstall::entry {
+namespace detail {
+
+/// Period of notices to the other entry hosts; changes are sent at once.
+constexpr core::duration_ms notice_interval{1000};
+
+/// Pause between two attempts to take ownership, longer than a fencing round trip.
+constexpr core::duration_ms claim_interval{200};
+
+/// Longest time without a call of tick().
+constexpr core::duration_ms idle_interval{500};
+
+template <class... Handlers> struct overloaded : Handlers... { using Handlers::operator()...; };
+
+} // namespace detail
+
+dispatcher::dispatcher(dispatcher_options options, times started)
+    : options_(std::move(options)), hosts_(options_.self, options_.others, started.now),
+      replica_(options_.self.name, options_.incarnation), config_(options_.control_hosts) {}
+
+dispatcher_effects dispatcher::handle(dispatcher_message message, times at) {
+    std::visit([&](auto&& input) { take(std::forward<decltype(input)>(input), at); },
+               std::move(message));
+    return take_effects(at);
+}
+
+dispatcher_effects dispatcher::tick(times at) {
+    carry_out(config_.tick(at.now), at);
+    claim_shards(at);
+    for (auto& [service, owned] : shards_) {
+        if (owned->next_call() <= at.now) {
+            carry_out(*owned, owned->tick(at), at);
+        }
+    }
+    expire_targets(at);
+    for (const auto number : forwarded_.due(at.now)) {
+        ask_owner(number, at);
+    }
+    expire_forwarded(at);
+    if (notice_due_ || next_notice_ <= at.now) {
+        send_notices(at);
+    }
+    return take_effects(at);
+}
+
+bool dispatcher::is_drained() const {
+    return draining_ && forwarded_.size() == 0 &&
+           std::ranges::all_of(shards_, [](const auto& entry) { return entry.second->is_idle(); });
+}
+
+void dispatcher::take(const task_report& report, times at) {
+    if (auto* const owner = find_shard(report.service)) {
+        carry_out(*owner, owner->task_ended(report.run, report.result, report.body, at), at);
+    }
+}
+
+void dispatcher::take(incoming_message incoming, times at) {
+    if (const auto* const config = std::get_if<control::control_to_entry>(&incoming.content)) {
+        carry_out(config_.handle(incoming.peer, *config, at.now), at);
+        return;
+    }
+    std::visit(
+        [&](auto&& content) {
+            receive(incoming.peer, std::forward<decltype(content)>(content), at);
+        },
+        std::get<peer_message>(std::move(incoming.content)));
+}
+
+void dispatcher::take(const peer_state_changed& change, times at) {
+    hosts_.set_reachable(change.peer, change.reachable);
+    if (change.reachable) {
+        // The peer may have lost what it knew, for example in a restart.
+        notice_due_ = true;
+        next_notice_ = at.now;
+    } else {
+        forwarded_.host_lost(change.peer, at.now);
+    }
+}
+
+void dispatcher::take(const shutdown_requested& /*request*/, times at) {
+    draining_ = true;
+    notice_due_ = true;
+    for (auto& [service, owned] : shards_) {
+        carry_out(*owned, owned->drain(at), at);
+    }
+}
+
+void dispatcher::take(const view_wanted& wanted, times at) {
+    core::admin_view view;
+    switch (wanted.kind) {
+    case core::view_kind::hosts:
+        hosts_.set_own_notice(make_notice(at));
+        view = hosts_.view(at.now);
+        break;
+    case core::view_kind::targets:
+        view = view_targets(at);
+        break;
+    case core::view_kind::shards:
+        view = view_shards();
+        break;
+    case core::view_kind::audit:
+        carry_out(config_.audit(wanted.from, at.now), at);
+        return;
+    }
+    to_front(wanted.from, view_ready{wanted.from.request, std::move(view)});
+}
+
+std::vector<core::shard_view> dispatcher::view_shards() const {
+    std::vector<core::shard_view> rows;
+    for (const auto& [service, owned] : shards_) {
+        rows.push_back({.service = service,
+                        .zone = options_.self.zone,
+                        .serving = owned->is_serving(),
+                        .has_quorum = owned->log().has_quorum(),
+                        .epoch = owned->log().epoch(),
+                        .generation = owned->log().generation(),
+                        .queued_tasks = owned->queued_tasks(),
+                        .running_tasks = owned->running_tasks(),
+                        .ejected_targets = owned->ejected_targets()});
+    }
+    return rows;
+}
+
+void dispatcher::receive(std::string_view peer, ownership_notice notice, times at) {
+    hosts_.set_notice(peer, std::move(notice), at.now);
+}
+
+void dispatcher::receive(std::string_view peer, const journal::owner_message& message,
+                         times /*at*/) {
+    send(peer, replica_.handle(message));
+}
+
+void dispatcher::receive(std::string_view /*peer*/, const journal::replica_message& message,
+                         times at) {
+    const auto& shard_id = std::visit(
+        [](const auto& reply) -> const journal::shard_id& { return reply.shard; }, message);
+    if (auto* const owner = find_shard(shard_id.service)) {
+        carry_out(*owner, owner->journal_message(message, at), at);
+    }
+}
+
+shard* dispatcher::find_shard(std::string_view service) {
+    const auto found = shards_.find(service);
+    return found == shards_.end() ? nullptr : found->second.get();
+}
+
+void dispatcher::claim_shards(times at) {
+    if (at.now < next_claim_) {
+        return;
+    }
+    next_claim_ = at.now + detail::claim_interval;
+    hosts_.set_own_notice(make_notice(at));
+    for (auto& [service, owned] : shards_) {
+        const bool idle = owned->log().phase() == journal::owner_phase::idle;
+        if (idle && hosts_.should_own(service, at.now)) {
+            carry_out(*owned, owned->take_ownership(at), at);
+        }
+    }
+}
+
+void dispatcher::carry_out(shard& source, shard_effects effects, times at) {
+    for (auto& effect : effects) {
+        std::visit(detail::overloaded{
+                       [&](journal_message_out& out) {
+                           send_journal(out.replica, std::move(out.message), at);
+                       },
+                       [&](run_task& task) { start(source, std::move(task), at); },
+                       [&](const answer_out& out) { answer(out.reply_to, out.answer, at); },
+                       [&](const redirect_out& out) { redirect(out.reply_to, at); },
+                       [&](const ownership_changed& /*changed*/) {
+                           hosts_.set_own_notice(make_notice(at));
+                           notice_due_ = true;
+                           next_claim_ = std::min(next_claim_, at.now + detail::claim_interval);
+                       },
+                   },
+                   effect);
+    }
+}
+
+void dispatcher::send_journal(std::string_view replica, journal::owner_message message, times at) {
+    if (replica != options_.self.name) {
+        send(replica, std::move(message));
+        return;
+    }
+    const auto reply = replica_.handle(message);
+    receive(replica, reply, at);
+}
+
+void dispatcher::send(std::string_view peer, peer_message message) {
+    effects_.emplace_back(outgoing_message{std::string{peer}, std::move(message)});
+}
+
+ownership_notice dispatcher::make_notice(times at) const {
+    ownership_notice notice;
+    notice.draining = draining_;
+    notice.config_revision = config_.documents().revision();
+    if (const auto confirmed = config_.documents().last_confirmed()) {
+        notice.config_age_ms = (at.now - *confirmed).count();
+    }
+    for (const auto& [service, owned] : shards_) {
+        if (owned->log().is_serving()) {
+            notice.owned.push_back({.service = service,
+                                    .epoch = owned->log().epoch(),
+                                    .generation = owned->log().generation()});
+        }
+    }
+    return notice;
+}
+
+void dispatcher::send_notices(times at) {
+    notice_due_ = false;
+    next_notice_ = at.now + detail::notice_interval;
+    const auto notice = make_notice(at);
+    hosts_.set_own_notice(notice);
+    for (const auto& peer : hosts_.all_peers()) {
+        send(peer, notice);
+    }
+}
+
+void dispatcher::to_front(const local_caller& caller, front_message message) {
+    effects_.emplace_back(front_out{caller.front_end, std::move(message)});
+}
+
+dispatcher_effects dispatcher::take_effects(times at) {
+    next_call_ = std::min({next_notice_, next_claim_, at.now + detail::idle_interval});
+    for (const auto& [service, owned] : shards_) {
+        next_call_ = std::min(next_call_, owned->next_call());
+    }
+    if (const auto retry = forwarded_.next_due()) {
+        next_call_ = std::min(next_call_, *retry);
+    }
+    if (notice_due_) {
+        next_call_ = at.now;
+    }
+    next_call_ = std::max(next_call_, at.now + core::duration_ms{1});
+    return std::exchange(effects_, {});
+}
+
+} // namespace hawthornstall::entry
--- a/src/hawthornstall/entry/dispatcher.hpp
+++ b/src/hawthornstall/entry/dispatcher.hpp
@@ -2,6 +2,7 @@
 
 /// Decisions of one entry host: routes jobs to owners, owns shards, holds a journal replica.
 
+#include "hawthornstall/entry/config_client.hpp"
 #include "hawthornstall/entry/dispatcher_effects.hpp"
 #include "hawthornstall/entry/dispatcher_messages.hpp"
 #include "hawthornstall/entry/forward_table.hpp"
@@ -45,6 +46,12 @@
     [[nodiscard]] bool is_drained() const;
 
 private:
+    struct known_target {
+        core::target_announcement last_news;
+        core::time_ms expires{};
+        bool available = false;
+    };
+
     void take(job_arrived arrived, times at);
     void take(const id_wanted& wanted, times at);
     void take(const target_news& news, times at);
@@ -59,17 +66,21 @@
     void receive(std::string_view peer, const job_done& done, times at);
     void receive(std::string_view peer, const not_owner& refusal, times at);
     void receive(std::string_view peer, ownership_notice notice, times at);
+    void receive(std::string_view peer, const target_update& update, times at);
     void receive(std::string_view peer, const journal::owner_message& message, times at);
     void receive(std::string_view peer, const journal::replica_message& message, times at);
 
     void ask_owner(std::uint64_t number, times at);
-    [[nodiscard]] bool assign_id(forwarded_job& job, const announced_owner& owner, times at);
+    [[nodiscard]] core::submission_id make_id(const announced_owner& owner, times at);
     void expire_forwarded(times at);
-    void answer_local(const reply_address& reply_to, core::job_answer answer);
+    void answer_caller(std::uint64_t number, const core::job_answer& answer);
     void answer(const reply_address& reply_to, const core::job_answer& answer, times at);
     void redirect(const reply_address& reply_to, times at);
 
+    void carry_out(config_effects effects, times at);
     void apply_documents(times at);
+    [[nodiscard]] core::admin_view view_targets(times at) const;
+    [[nodiscard]] std::vector<core::shard_view> view_shards() const;
     [[nodiscard]] shard* find_shard(std::string_view service);
     void claim_shards(times at);
     void carry_out(shard& source, shard_effects effects, times at);
@@ -77,6 +88,10 @@
     void send(std::string_view peer, peer_message message);
     void send_notices(times at);
     [[nodiscard]] ownership_notice make_notice(times at) const;
+    void start(const shard& source, run_task task, times at);
+    void take_announcement(const core::target_announcement& news, times at);
+    void offer_target(shard& to, const known_target& target, times at);
+    void expire_targets(times at);
     void offer_targets(shard& to, times at);
     void to_front(const local_caller& caller, front_message message);
     [[nodiscard]] dispatcher_effects take_effects(times at);
@@ -86,7 +101,8 @@
     journal::replica replica_;
     forward_table forwarded_;
     std::map<std::string, std::unique_ptr<shard>, std::less<>> shards_;
-    std::shared_ptr<const control::applied_documents> documents_;
+    config_client config_;
+    std::map<std::string, known_target, std::less<>> targets_;
     bool draining_ = false;
     bool notice_due_ = false;
     core::time_ms next_notice_{};
--- a/src/hawthornstall/entry/dispatcher_effects.hpp
+++ b/src/hawthornstall/entry/dispatcher_effects.hpp
@@ -21,8 +21,7 @@
     documents_changed documents;
 };
 
-using dispatcher_effect =
-    std::variant<outgoing_message, start_order, front_out, documents_out>;
+using dispatcher_effect = std::variant<outgoing_message, start_order, front_out, documents_out>;
 using dispatcher_effects = std::vector<dispatcher_effect>;
 
 } // namespace hawthornstall::entry
--- /dev/null
+++ b/src/hawthornstall/entry/dispatcher_jobs.cpp
@@ -0,0 +1,169 @@
+/// Members of dispatcher that bring jobs to their owner and answers back to callers.
+
+#include "hawthornstall/core/error.hpp"
+#include "hawthornstall/entry/dispatcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornstall::entry {
+namespace detail {
+
+/// Pause before the next attempt to reach an owner while none is known.
+constexpr core::duration_ms retry_pause{50};
+
+/// A submission is asked for again after this time, in case its answer was lost on the way. The
+/// owner recognises it and adds no work.
+constexpr core::duration_ms ask_again_after{2000};
+
+/// Time beyond the deadline that the owner's own answer gets to arrive.
+constexpr core::duration_ms answer_grace{250};
+
+/// A request without identifier runs without the journal; everything else is a submission.
+bool needs_id(const core::job_request& job) {
+    return !job.idempotent || job.tasks.size() != 1;
+}
+
+core::job_answer unanswered(const forwarded_job& job) {
+    // A job that reached no owner did not run, unless an earlier attempt of the caller did.
+    const bool asked = job.open_asks > 0;
+    const bool may_have_run = asked || job.id_from_caller;
+    return {.id = job.job.id,
+            .outcome = may_have_run ? core::outcome_class::may_have_run
+                                    : core::outcome_class::refused_not_run,
+            .reason = asked ? "the owner did not answer before the deadline"
+                      : may_have_run
+                          ? "not run by this attempt, may have run before: no owner of the "
+                            "service could be reached in the submission's home zone"
+                          : "no owner of the service could be reached",
+            .retry_after = core::duration_ms{1000},
+            .results = {}};
+}
+
+} // namespace detail
+
+void dispatcher::take(job_arrived arrived, times at) {
+    forwarded_job job;
+    job.reply_to = arrived.from;
+    job.zone = arrived.job.id ? arrived.job.id->zone : options_.self.zone;
+    job.id_from_caller = arrived.job.id.has_value();
+    job.deadline = at.now + arrived.job.deadline;
+    job.job = std::move(arrived.job);
+    if (!hosts_.zone_is_reachable(job.zone)) {
+        to_front(arrived.from, job_answered{arrived.from.request, detail::unanswered(job)});
+        return;
+    }
+    ask_owner(forwarded_.add(std::move(job)), at);
+}
+
+void dispatcher::take(const id_wanted& wanted, times at) {
+    const auto owner = hosts_.find_owner(wanted.service, options_.self.zone);
+    if (!owner) {
+        to_front(wanted.from,
+                 request_done{wanted.from.request,
+                              core::make_error(absl::StatusCode::kUnavailable,
+                                               {.step = "issue_submission_id", .peer = {}},
+                                               "no entry host of this zone owns the service now")});
+        return;
+    }
+    to_front(wanted.from, id_issued{wanted.from.request, make_id(*owner, at)});
+}
+
+core::submission_id dispatcher::make_id(const announced_owner& owner, times at) {
+    return {.zone = options_.self.zone,
+            .generation = owner.generation,
+            .issued = at.wall,
+            .key = options_.self.name + '-' + std::to_string(options_.incarnation) + '-' +
+                   std::to_string(++last_key_)};
+}
+
+void dispatcher::ask_owner(std::uint64_t number, times at) {
+    auto* const job = forwarded_.find(number);
+    if (job == nullptr) {
+        return;
+    }
+    const auto owner = hosts_.find_owner(job->job.service, job->zone);
+    if (!owner) {
+        forwarded_.schedule(number, at.now + detail::retry_pause);
+        return;
+    }
+    if (!job->job.id && detail::needs_id(job->job)) {
+        job->job.id = make_id(*owner, at);
+    }
+    job->host = owner->host;
+    ++job->open_asks;
+    // A request without identifier is not deduplicated, so only the loss of its owner repeats it.
+    forwarded_.schedule(number, job->job.id ? at.now + detail::ask_again_after
+                                            : job->deadline + detail::answer_grace);
+    auto request = job->job;
+    request.deadline = std::max(job->deadline - at.now, core::duration_ms{1});
+    if (owner->host != options_.self.name) {
+        send(owner->host,
+             forward_job{.number = number, .zone = job->zone, .job = std::move(request)});
+        return;
+    }
+    if (auto* const owned = find_shard(request.service)) {
+        carry_out(
+            *owned,
+            owned->submit(std::move(request), forwarding_host{options_.self.name, number}, at), at);
+    }
+}
+
+void dispatcher::receive(std::string_view peer, forward_job forwarded, times at) {
+    auto* const owned = find_shard(forwarded.job.service);
+    if (owned == nullptr || forwarded.zone != options_.self.zone) {
+        send(peer, not_owner{forwarded.number});
+        return;
+    }
+    carry_out(*owned,
+              owned->submit(std::move(forwarded.job),
+                            forwarding_host{std::string{peer}, forwarded.number}, at),
+              at);
+}
+
+void dispatcher::receive(std::string_view /*peer*/, const job_done& done, times /*at*/) {
+    answer_caller(done.number, done.answer);
+}
+
+void dispatcher::receive(std::string_view /*peer*/, const not_owner& refusal, times at) {
+    if (auto* const job = forwarded_.find(refusal.number)) {
+        job->open_asks -= std::min<std::uint32_t>(job->open_asks, 1);
+        forwarded_.schedule(refusal.number, at.now + detail::retry_pause);
+    }
+}
+
+void dispatcher::answer(const reply_address& reply_to, const core::job_answer& answer,
+                        times /*at*/) {
+    const auto& origin = std::get<forwarding_host>(reply_to);
+    if (origin.host == options_.self.name) {
+        answer_caller(origin.number, answer);
+    } else {
+        send(origin.host, job_done{.number = origin.number, .answer = answer});
+    }
+}
+
+void dispatcher::answer_caller(std::uint64_t number, const core::job_answer& answer) {
+    // Only the first answer finds the job; a second or late one is dropped here.
+    if (auto job = forwarded_.take(number)) {
+        const auto& caller = std::get<local_caller>(job->reply_to);
+        to_front(caller, job_answered{caller.request, answer});
+    }
+}
+
+void dispatcher::redirect(const reply_address& reply_to, times at) {
+    const auto& origin = std::get<forwarding_host>(reply_to);
+    if (origin.host == options_.self.name) {
+        receive(origin.host, not_owner{origin.number}, at);
+    } else {
+        send(origin.host, not_owner{origin.number});
+    }
+}
+
+void dispatcher::expire_forwarded(times at) {
+    for (const auto& job : forwarded_.take_expired(at.now - detail::answer_grace)) {
+        const auto& caller = std::get<local_caller>(job.reply_to);
+        to_front(caller, job_answered{caller.request, detail::unanswered(job)});
+    }
+}
+
+} // namespace hawthornstall::entry
--- a/src/hawthornstall/entry/forward_table.hpp
+++ b/src/hawthornstall/entry/forward_table.hpp
@@ -6,11 +6,12 @@
 #include "hawthornstall/entry/reply_address.hpp"
 
 #include <cstdint>
-#include <map>
 #include <optional>
-#include <span>
+#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace hawthornstall::entry {
@@ -18,11 +19,12 @@
 /// A job that waits for its owner.
 struct forwarded_job {
     reply_address reply_to;
-    std::string zone;    ///< Zone whose owner is asked.
-    std::string host;    ///< Host that was asked last; empty while none is known.
+    std::string zone; ///< Zone whose owner is asked.
+    std::string host; ///< Host that was asked last; empty while none is known.
     core::time_ms deadline{};
-    core::time_ms retry_at{}; ///< When to ask again if nothing was heard.
-    bool sent = false;        ///< Some host was asked; it may have run the job.
+    core::time_ms retry_at{};    ///< When to ask again; set by forward_table::schedule.
+    std::uint32_t open_asks = 0; ///< Hosts that were asked and did not say that nothing ran.
+    bool id_from_caller = false; ///< An earlier attempt of the caller may have run.
     core::job_request job;
 };
 
@@ -38,12 +40,18 @@
 
     [[nodiscard]] forwarded_job* find(std::uint64_t number);
 
+    /// Sets when the owner of a job is asked again.
+    void schedule(std::uint64_t number, core::time_ms retry_at);
+
     /// Schedules every job that was sent to `host` to be asked again at `now`.
     void host_lost(std::string_view host, core::time_ms now);
 
     /// Numbers of the jobs that are to be sent or sent again at `now`.
     [[nodiscard]] std::vector<std::uint64_t> due(core::time_ms now) const;
 
+    /// Earliest time at which due() returns a job.
+    [[nodiscard]] std::optional<core::time_ms> next_due() const;
+
     /// Removes and returns the jobs whose deadline has passed.
     [[nodiscard]] std::vector<forwarded_job> take_expired(core::time_ms now);
 
@@ -51,7 +59,9 @@
 
 private:
     std::uint64_t last_number_ = 0;
-    std::map<std::uint64_t, forwarded_job> jobs_;
+    std::unordered_map<std::uint64_t, forwarded_job> jobs_;
+    std::set<std::pair<core::time_ms, std::uint64_t>> retries_;
+    std::set<std::pair<core::time_ms, std::uint64_t>> deadlines_;
 };
 
 } // namespace hawthornstall::entry
--- a/src/hawthornstall/entry/front_logic.cpp
+++ b/src/hawthornstall/entry/front_logic.cpp
@@ -157,7 +157,8 @@
         receive_view(request, core::view_kind::audit);
     } else if (request.path == "/metrics") {
         const auto text = metrics_();
-        server_->answer(request.number, {.content_type = "text/plain; version=0.0.4", .body = text});
+        server_->answer(request.number,
+                        {.content_type = "text/plain; version=0.0.4", .body = text});
     } else if (request.path == "/healthz") {
         server_->answer(request.number, {.body = "{}"});
     } else {
@@ -219,27 +220,26 @@
         answer_error(request.number, document.status());
         return;
     }
-    forward(request,
-            edit_arrived{address_of(request), control::edit_command{
-                                                  .edit_id = std::string{edit_id},
-                                                  .service = std::string{service},
-                                                  .base_version = *base,
-                                                  .document = *std::move(document),
-                                                  .actor = holder->name,
-                                                  .actor_team = holder->team,
-                                                  .wall_time = core::ms_clock::wall_now(),
-                                                  .host = options_.host,
-                                              }});
+    forward(request, edit_arrived{address_of(request), control::edit_command{
+                                                           .edit_id = std::string{edit_id},
+                                                           .service = std::string{service},
+                                                           .base_version = *base,
+                                                           .document = *std::move(document),
+                                                           .actor = holder->name,
+                                                           .actor_team = holder->team,
+                                                           .wall_time = core::ms_clock::wall_now(),
+                                                           .host = options_.host,
+                                                       }});
 }
 
 void front_logic::receive_view(const net::http_request& request, core::view_kind kind) {
     const auto holder = find_principal(options_.credentials, request.authorization);
     if (!holder.ok() || holder->kind == settings::role::caller) {
-        answer_error(request.number,
-                     holder.ok() ? core::make_error(absl::StatusCode::kPermissionDenied,
-                                                    {.step = "authenticate", .peer = {}},
-                                                    "a caller's token does not read this")
-                                 : holder.status());
+        answer_error(request.number, holder.ok()
+                                         ? core::make_error(absl::StatusCode::kPermissionDenied,
+                                                            {.step = "authenticate", .peer = {}},
+                                                            "a caller's token does not read this")
+                                         : holder.status());
         return;
     }
     forward(request, view_wanted{address_of(request), kind});
@@ -253,8 +253,8 @@
     }
     std::string body;
     if (service.empty()) {
-        for (const auto& document : documents_ ? documents_->documents()
-                                               : std::span<const core::service_document>{}) {
+        for (const auto& document :
+             documents_ ? documents_->documents() : std::span<const core::service_document>{}) {
             body += (body.empty() ? "[" : ",") + settings::to_json(document);
         }
         body = body.empty() ? "[]" : body + "]";
--- a/src/hawthornstall/entry/front_logic.hpp
+++ b/src/hawthornstall/entry/front_logic.hpp
@@ -45,7 +45,8 @@
     void handle(front_message incoming);
 
 private:
-    using caller_pipeline = pipeline::pipe<authenticate, decode_call, resolve_service, check_limits>;
+    using caller_pipeline =
+        pipeline::pipe<authenticate, decode_call, resolve_service, check_limits>;
 
     void receive(const net::http_request& request);
     void receive_get(const net::http_request& request);
--- a/src/hawthornstall/entry/host_directory.hpp
+++ b/src/hawthornstall/entry/host_directory.hpp
@@ -29,13 +29,13 @@
     std::uint64_t generation = 0;
 };
 
-/// Ownership is sticky: a host that serves a shard keeps it while it lives, so that a returning host
-/// does not cut off running jobs. Rendezvous hashing only chooses among the living hosts when no
-/// living one serves the shard. A wrong choice is safe, since replicas refuse the lower epoch.
+/// Ownership is sticky: a host that serves a shard keeps it while it lives, so that a returning
+/// host does not cut off running jobs. Rendezvous hashing only chooses among the living hosts when
+/// no living one serves the shard. A wrong choice is safe, since replicas refuse the lower epoch.
 class host_directory {
 public:
-    /// Time after the start during which this host does not take ownership: living owners need to be
-    /// heard first. It is the silence limit of the peer links and one notice interval.
+    /// Time after the start during which this host does not take ownership: living owners need to
+    /// be heard first. It is the silence limit of the peer links and one notice interval.
     static constexpr core::duration_ms settle_time{2500};
 
     host_directory(known_host self, std::vector<known_host> others, core::time_ms started);
--- a/src/hawthornstall/entry/link_logic.cpp
+++ b/src/hawthornstall/entry/link_logic.cpp
@@ -1,17 +1,20 @@
 #include "hawthornstall/entry/link_logic.hpp"
 
+#include "hawthornstall/control/entry_message_layouts.hpp"
 #include "hawthornstall/core/error.hpp"
 #include "hawthornstall/entry/peer_message_layout.hpp"
 #include "hawthornstall/wire/codec.hpp"
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
 namespace hawthornstall::entry {
 
-link_logic::link_logic(net::peer_links::identity self, std::vector<net::peer_endpoint> peers,
-                       receiver deliver)
-    : self_(std::move(self)), peers_(std::move(peers)), deliver_(std::move(deliver)) {}
+link_logic::link_logic(net::peer_links::identity self, std::vector<net::peer_endpoint> entry_hosts,
+                       std::vector<net::peer_endpoint> control_hosts, receiver deliver)
+    : self_(std::move(self)), entry_hosts_(std::move(entry_hosts)),
+      control_hosts_(std::move(control_hosts)), deliver_(std::move(deliver)) {}
 
 void link_logic::attach(runtime::event_loop& loop) {
     links_ = std::make_unique<net::peer_links>(
@@ -22,21 +25,32 @@
         [this](std::string_view peer, bool reachable) {
             deliver_(peer_state_changed{.peer = std::string{peer}, .reachable = reachable});
         });
-    if (const auto status = links_->start(peers_); !status.ok()) {
+    std::vector<net::peer_endpoint> peers = entry_hosts_;
+    peers.insert(peers.end(), control_hosts_.begin(), control_hosts_.end());
+    if (const auto status = links_->start(peers); !status.ok()) {
         throw std::runtime_error{core::describe(status)};
     }
 }
 
 void link_logic::handle(outgoing_message outgoing) {
-    (void)links_->send(outgoing.peer, wire::encode(outgoing.content));
+    const auto bytes =
+        std::visit([](const auto& content) { return wire::encode(content); }, outgoing.content);
+    (void)links_->send(outgoing.peer, bytes);
 }
 
 void link_logic::receive(std::string_view peer, std::uint64_t incarnation, std::string_view body) {
-    auto content = wire::decode<peer_message>(body);
-    if (content.ok()) {
-        deliver_(incoming_message{.peer = std::string{peer},
-                                  .incarnation = incarnation,
-                                  .content = std::move(*content)});
+    const auto deliver = [&](auto content) {
+        if (content.ok()) {
+            deliver_(incoming_message{.peer = std::string{peer},
+                                      .incarnation = incarnation,
+                                      .content = *std::move(content)});
+        }
+    };
+    if (std::ranges::find(control_hosts_, peer, &net::peer_endpoint::name) !=
+        control_hosts_.end()) {
+        deliver(wire::decode<control::control_to_entry>(body));
+    } else {
+        deliver(wire::decode<peer_message>(body));
     }
 }
 
--- a/src/hawthornstall/entry/link_logic.hpp
+++ b/src/hawthornstall/entry/link_logic.hpp
@@ -2,6 +2,7 @@
 
 /// Loop task that owns the links to the system's other processes and the encoding of messages.
 
+#include "hawthornstall/control/entry_messages.hpp"
 #include "hawthornstall/entry/peer_message.hpp"
 #include "hawthornstall/net/peer_links.hpp"
 #include "hawthornstall/runtime/mailbox.hpp"
@@ -17,14 +18,14 @@
 /// Sends `content` to the named process.
 struct outgoing_message {
     std::string peer;
-    peer_message content;
+    std::variant<peer_message, control::entry_to_control> content;
 };
 
 /// A message from another process, decoded.
 struct incoming_message {
     std::string peer;
     std::uint64_t incarnation = 0;
-    peer_message content;
+    std::variant<peer_message, control::control_to_entry> content;
 };
 
 /// A process became reachable or unreachable.
@@ -41,8 +42,8 @@
     /// Receives decoded messages and state changes, on this task's thread.
     using receiver = std::function<void(std::variant<incoming_message, peer_state_changed>)>;
 
-    link_logic(net::peer_links::identity self, std::vector<net::peer_endpoint> peers,
-               receiver deliver);
+    link_logic(net::peer_links::identity self, std::vector<net::peer_endpoint> entry_hosts,
+               std::vector<net::peer_endpoint> control_hosts, receiver deliver);
 
     void attach(runtime::event_loop& loop);
     void handle(outgoing_message outgoing);
@@ -51,7 +52,8 @@
     void receive(std::string_view peer, std::uint64_t incarnation, std::string_view body);
 
     net::peer_links::identity self_;
-    std::vector<net::peer_endpoint> peers_;
+    std::vector<net::peer_endpoint> entry_hosts_;
+    std::vector<net::peer_endpoint> control_hosts_;
     receiver deliver_;
     std::unique_ptr<net::peer_links> links_;
 };
--- a/src/hawthornstall/entry/open_job.hpp
+++ b/src/hawthornstall/entry/open_job.hpp
@@ -21,8 +21,8 @@
     std::vector<reply_address> waiters;
     std::vector<std::string> results; ///< One per task, filled as tasks are answered.
     core::time_ms deadline{};
-    bool started = false;    ///< An attempt was decided.
-    bool registered = false; ///< Its first records were appended.
+    bool started = false;                ///< An attempt was decided.
+    bool registered = false;             ///< Its first records were appended.
     std::optional<core::job_answer> end; ///< Decided, waits for the journal.
 };
 
--- a/src/hawthornstall/entry/peer_message_layout.hpp
+++ b/src/hawthornstall/entry/peer_message_layout.hpp
@@ -8,33 +8,45 @@
 
 namespace hawthornstall::wire {
 
-template <>
-struct layout<entry::forward_job> {
-    static constexpr auto members = std::tuple{
-        &entry::forward_job::number, &entry::forward_job::zone, &entry::forward_job::job};
+template <> struct layout<entry::forward_job> {
+    static constexpr auto members = std::tuple{&entry::forward_job::number,
+                                               &entry::forward_job::zone, &entry::forward_job::job};
 };
 
-template <>
-struct layout<entry::job_done> {
+template <> struct layout<entry::job_done> {
     static constexpr auto members = std::tuple{&entry::job_done::number, &entry::job_done::answer};
 };
 
-template <>
-struct layout<entry::not_owner> {
+template <> struct layout<entry::not_owner> {
     static constexpr auto members = std::tuple{&entry::not_owner::number};
 };
 
-template <>
-struct layout<entry::owned_shard> {
+template <> struct layout<core::target_capacity> {
+    using type = core::target_capacity;
+    static constexpr auto members = std::tuple{&type::slots, &type::connections, &type::cores,
+                                               &type::memory_mb, &type::accelerators};
+};
+
+template <> struct layout<core::target_announcement> {
+    using type = core::target_announcement;
     static constexpr auto members = std::tuple{
-        &entry::owned_shard::service, &entry::owned_shard::epoch, &entry::owned_shard::generation};
+        &type::name,    &type::incarnation, &type::sequence, &type::zone,  &type::rack,
+        &type::address, &type::services,    &type::capacity, &type::lease, &type::leaving};
 };
 
-template <>
-struct layout<entry::ownership_notice> {
+template <> struct layout<entry::target_update> {
+    static constexpr auto members = std::tuple{&entry::target_update::announcement};
+};
+
+template <> struct layout<entry::owned_shard> {
     static constexpr auto members = std::tuple{
-        &entry::ownership_notice::draining, &entry::ownership_notice::config_revision,
-        &entry::ownership_notice::config_age_ms, &entry::ownership_notice::owned};
+        &entry::owned_shard::service, &entry::owned_shard::epoch, &entry::owned_shard::generation};
+};
+
+template <> struct layout<entry::ownership_notice> {
+    static constexpr auto members =
+        std::tuple{&entry::ownership_notice::draining, &entry::ownership_notice::config_revision,
+                   &entry::ownership_notice::config_age_ms, &entry::ownership_notice::owned};
 };
 
 } // namespace hawthornstall::wire
--- a/src/hawthornstall/entry/resolve_service.cpp
+++ b/src/hawthornstall/entry/resolve_service.cpp
@@ -17,8 +17,8 @@
         *documents_ == nullptr ? nullptr : (*documents_)->find(call.job.service);
     if (document == nullptr) {
         return core::make_error(absl::StatusCode::kNotFound, detail::origin,
-                                "this entry host has no document of service \"" +
-                                    call.job.service + '"');
+                                "this entry host has no document of service \"" + call.job.service +
+                                    '"');
     }
     const auto& callers = document->accepts.callers;
     if (!callers.empty() && std::ranges::find(callers, call.caller.name) == callers.end()) {
--- a/src/hawthornstall/entry/service_scheduler.cpp
+++ b/src/hawthornstall/entry/service_scheduler.cpp
@@ -22,8 +22,7 @@
 
 } // namespace detail
 
-service_scheduler::implementation
-service_scheduler::make(const core::service_document& document) {
+service_scheduler::implementation service_scheduler::make(const core::service_document& document) {
     return document.model == core::capacity_model::worker
                ? detail::make_with<scheduling::worker_capacity, implementation>(document)
                : detail::make_with<scheduling::slot_capacity, implementation>(document);
--- a/src/hawthornstall/entry/shard.cpp
+++ b/src/hawthornstall/entry/shard.cpp
@@ -86,9 +86,8 @@
         admit_submission(std::move(request), reply_to, deadline, at);
     } else {
         open_job job;
-        job.id_text =
-            self_.host + '/' + std::to_string(self_.incarnation) + '/' +
-            std::to_string(last_job_ + 1);
+        job.id_text = self_.host + '/' + std::to_string(self_.incarnation) + '/' +
+                      std::to_string(last_job_ + 1);
         job.request = std::move(request);
         job.waiters = {reply_to};
         job.deadline = deadline;
@@ -177,8 +176,7 @@
     take_journal_effects(std::move(confirmation.effects), at);
 }
 
-shard_effects shard::set_target(const core::target_announcement& target, bool available,
-                                times at) {
+shard_effects shard::set_target(const core::target_announcement& target, bool available, times at) {
     targets_.insert_or_assign(target.name, target);
     scheduler_->set_target(target.name, target.capacity, available);
     run_decisions(at);
--- a/src/hawthornstall/entry/shard_dispatch.cpp
+++ b/src/hawthornstall/entry/shard_dispatch.cpp
@@ -65,7 +65,8 @@
 
 void shard::record_repeatable_end(const open_job& job, const running_task& ended, times at) {
     // Without this record the next attempt of the task would be refused by the journal.
-    journal::job_records records{.submission = *job.submission};
+    journal::job_records records;
+    records.submission = *job.submission;
     records.ends.push_back({.task = ended.task,
                             .attempt = ended.recorded_attempt,
                             .outcome = core::outcome_class::failed,
@@ -97,8 +98,9 @@
 void shard::start_tasks(std::span<const scheduling::start_decision> starts, times at) {
     while (!starts.empty()) {
         const auto job_number = starts.front().job;
-        const auto* const next = std::ranges::find_if(
-            starts, [&](const auto& start) { return start.job != job_number; }).base();
+        const auto* const next = std::ranges::find_if(starts, [&](const auto& start) {
+                                     return start.job != job_number;
+                                 }).base();
         const auto count = static_cast<std::size_t>(next - starts.data());
         auto* const job = find_job(job_number);
         if (job == nullptr) {
@@ -145,9 +147,8 @@
     }
     records.submission = *job.submission;
     if (!std::exchange(job.registered, true)) {
-        records.registration = {
-            .digest = job.digest,
-            .task_count = static_cast<std::uint32_t>(job.request.tasks.size())};
+        records.registration = {.digest = job.digest,
+                                .task_count = static_cast<std::uint32_t>(job.request.tasks.size())};
     }
     auto result = log_.append(records, at.now);
     if (result.sequence == 0) {
@@ -177,14 +178,13 @@
     }
     const auto& running = found->second;
     const auto& job = jobs_.at(static_cast<std::uint64_t>(running.job));
-    effects_.emplace_back(run_task{
-        .run = run,
-        .target = running.target,
-        .task_id = job.id_text + '/' + std::to_string(running.task),
-        .attempt = std::max<std::uint32_t>(running.recorded_attempt, 1),
-        .idempotent = job.request.idempotent,
-        .timeout = std::max(job.deadline - at.now, core::duration_ms{1}),
-        .payload = job.request.tasks[running.task].payload});
+    effects_.emplace_back(run_task{.run = run,
+                                   .target = running.target,
+                                   .task_id = job.id_text + '/' + std::to_string(running.task),
+                                   .attempt = std::max<std::uint32_t>(running.recorded_attempt, 1),
+                                   .idempotent = job.request.idempotent,
+                                   .timeout = std::max(job.deadline - at.now, core::duration_ms{1}),
+                                   .payload = job.request.tasks[running.task].payload});
     scheduler_->sent(running.attempt, at.now);
 }
 
@@ -211,7 +211,8 @@
     }
     journal::append_result result;
     if (job.registered) {
-        journal::job_records records{.submission = *job.submission};
+        journal::job_records records;
+        records.submission = *job.submission;
         records.end = journal::make_job_end(*job.end, detail::max_kept_answer_bytes);
         if (records.end->outcome == core::outcome_class::refused_not_run) {
             // Starts are recorded although none was sent, so the identifier can't be released.
--- a/src/hawthornstall/entry/shard_ownership.cpp
+++ b/src/hawthornstall/entry/shard_ownership.cpp
@@ -9,10 +9,7 @@
 namespace hawthornstall::entry {
 namespace detail {
 
-template <class... Handlers>
-struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
+template <class... Handlers> struct overloaded : Handlers... { using Handlers::operator()...; };
 
 constexpr std::string_view ownership_lost =
     "the owner lost its journal quorum or was superseded after tasks had started";
@@ -122,13 +119,14 @@
         reply(job.waiters, *job.end);
         close(number);
     }
-    std::erase_if(held_by_append_, [&](auto& entry) {
-        auto& held = entry.second;
+    std::erase_if(held_by_append_, [&](const auto& entry) {
+        const auto& held = entry.second;
         if (held.deadline > at.now) {
             return false;
         }
-        held.answer.outcome = core::outcome_class::may_have_run;
-        reply({&held.reply_to, 1}, held.answer);
+        auto answer = held.answer;
+        answer.outcome = core::outcome_class::may_have_run;
+        reply({&held.reply_to, 1}, answer);
         return true;
     });
 }
