--- /dev/null
+++ b/src/hawthornstall/telemetry/log_output.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+/// Process-wide output of log lines through Boost.Log.
+
+#include "hawthornstall/core/log_level.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <ostream>
+#include <string_view>
+
+namespace hawthornstall::telemetry {
+
+/// Writes lines to a stream on a thread of its own, so that a slow disk or terminal never holds up
+/// a loop task. At most one may exist in a process at a time. All members are safe from any thread.
+class log_output {
+public:
+    /// Lines that wait for the stream at most; further ones are dropped and counted.
+    static constexpr std::size_t queue_capacity = 8192;
+
+    log_output(std::shared_ptr<std::ostream> stream, core::log_level level);
+
+    /// Writes out what is queued.
+    ~log_output();
+    log_output(const log_output&) = delete;
+    log_output& operator=(const log_output&) = delete;
+    log_output(log_output&&) = delete;
+    log_output& operator=(log_output&&) = delete;
+
+    /// Records below `level` are not written from now on.
+    void set_level(core::log_level level) noexcept;
+    [[nodiscard]] core::log_level level() const noexcept;
+
+    /// Queues `line`, which has no line feed.
+    void write(core::log_level level, std::string_view line);
+
+    /// Waits until the queued lines are in the stream.
+    void flush();
+
+    /// Lines dropped because the queue was full.
+    [[nodiscard]] std::uint64_t overflow_count() const noexcept;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+/// Stream that refers to the process's standard error.
+[[nodiscard]] std::shared_ptr<std::ostream> standard_error();
+
+} // namespace hawthornstall::telemetry
