--- a/src/hawthornstall/entry/dispatcher.cpp
+++ b/src/hawthornstall/entry/dispatcher.cpp
@@ -51,8 +51,10 @@
 }
 
 bool dispatcher::is_drained() const {
-    return draining_ && forwarded_.size() == 0 &&
-           std::ranges::all_of(shards_, [](const auto& entry) { return entry.second->is_idle(); });
+    return draining_ && !notice_due_ && forwarded_.size() == 0 &&
+           std::ranges::all_of(shards_, [](const auto& entry) {
+               return entry.second->is_idle() && !entry.second->log().is_serving();
+           });
 }
 
 void dispatcher::take(const task_report& report, times at) {
--- /dev/null
+++ b/src/hawthornstall/entry/entry_host.cpp
@@ -0,0 +1,103 @@
+#include "hawthornstall/entry/entry_host.hpp"
+
+#include "hawthornstall/core/ms_clock.hpp"
+
+#include <string>
+#include <utility>
+
+namespace hawthornstall::entry {
+namespace detail {
+
+/// Messages that may wait for one loop task. At 20,000 task starts a second and four messages per
+/// task this is a backlog of most of a second, beyond which callers are refused.
+constexpr std::size_t mailbox_capacity = 65'536;
+
+dispatcher_options make_options(const settings::entry_settings& settings,
+                                std::uint64_t incarnation) {
+    dispatcher_options options;
+    options.self = {settings.name, settings.zone, settings.weight};
+    options.incarnation = incarnation;
+    for (const auto& peer : settings.peers) {
+        options.others.push_back({peer.host.name, peer.zone, peer.weight});
+    }
+    options.journal_replicas = settings.journal_replicas;
+    for (const auto& host : settings.control_hosts) {
+        options.control_hosts.push_back(host.name);
+    }
+    return options;
+}
+
+net::peer_endpoint to_endpoint(const settings::host_entry& host) {
+    return {.name = host.name, .address = settings::to_string(host.peer_address)};
+}
+
+} // namespace detail
+
+entry_host::entry_host(const settings::entry_settings& settings, std::function<void()> on_stopped)
+    : on_stopped_(std::move(on_stopped)), running_parts_(settings.http_threads + 1),
+      dispatcher_box_(runtime::make_mailbox<dispatcher_message>(detail::mailbox_capacity)),
+      link_box_(runtime::make_mailbox<outgoing_message>(detail::mailbox_capacity)),
+      target_box_(runtime::make_mailbox<start_order>(detail::mailbox_capacity)) {
+    const auto incarnation = static_cast<std::uint64_t>(core::to_count(core::ms_clock::wall_now()));
+    std::vector<net::peer_endpoint> entry_hosts;
+    for (const auto& peer : settings.peers) {
+        entry_hosts.push_back(detail::to_endpoint(peer.host));
+    }
+    std::vector<net::peer_endpoint> control_hosts;
+    for (const auto& host : settings.control_hosts) {
+        control_hosts.push_back(detail::to_endpoint(host));
+    }
+    for (std::size_t number = 0; number < settings.http_threads; ++number) {
+        front_boxes_.push_back(runtime::make_mailbox<front_message>(detail::mailbox_capacity));
+    }
+    // A full mailbox drops the message: targets are asked again by retries, peers resend.
+    const auto to_dispatcher = [box = dispatcher_box_](auto input) {
+        return box->post(dispatcher_message{std::move(input)});
+    };
+    dispatcher_ = std::make_unique<runtime::loop_task<dispatcher_logic>>(
+        dispatcher_box_, detail::make_options(settings, incarnation),
+        dispatcher_peers{front_boxes_, link_box_, target_box_}, std::function<void()>{[this] {
+            part_stopped();
+        }});
+    targets_ = std::make_unique<runtime::loop_task<target_logic>>(
+        target_box_, target_logic::receiver{[to_dispatcher](task_report report) {
+            (void)to_dispatcher(std::move(report));
+        }});
+    links_ = std::make_unique<runtime::loop_task<link_logic>>(
+        link_box_,
+        net::peer_links::identity{settings.name, incarnation,
+                                  settings::to_string(settings.peer_address)},
+        entry_hosts, control_hosts, link_logic::receiver{[to_dispatcher](auto input) {
+            std::visit([&](auto& content) { (void)to_dispatcher(std::move(content)); }, input);
+        }});
+    for (std::size_t number = 0; number < settings.http_threads; ++number) {
+        fronts_.push_back(std::make_unique<front_task>(
+            front_boxes_[number],
+            front_options{number, settings.name, settings::to_string(settings.http_address),
+                          settings.credentials},
+            front_logic::dispatcher_sender{[box = dispatcher_box_](dispatcher_message message) {
+                return box->post(std::move(message));
+            }},
+            front_logic::metrics_source{[this] {
+                return metrics_.render();
+            }},
+            std::function<void()>{[this] {
+                part_stopped();
+            }}));
+    }
+}
+
+void entry_host::shut_down() {
+    for (const auto& front : front_boxes_) {
+        (void)front->post(close_requested{});
+    }
+    (void)dispatcher_box_->post(shutdown_requested{});
+}
+
+void entry_host::part_stopped() {
+    if (running_parts_.fetch_sub(1) == 1) {
+        on_stopped_();
+    }
+}
+
+} // namespace hawthornstall::entry
--- /dev/null
+++ b/src/hawthornstall/entry/entry_host.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+/// One entry host: its loop tasks and the mailboxes between them.
+
+#include "hawthornstall/entry/dispatcher_logic.hpp"
+#include "hawthornstall/entry/front_logic.hpp"
+#include "hawthornstall/entry/link_logic.hpp"
+#include "hawthornstall/entry/target_logic.hpp"
+#include "hawthornstall/runtime/loop_task.hpp"
+#include "hawthornstall/settings/entry_settings.hpp"
+#include "hawthornstall/telemetry/entry_metrics.hpp"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace hawthornstall::entry {
+
+/// Starts serving when made. Ends the loop tasks when destroyed, without waiting for open requests.
+class entry_host {
+public:
+    /// `on_stopped` is called once, on a thread of the host, when a graceful shutdown is complete.
+    entry_host(const settings::entry_settings& settings, std::function<void()> on_stopped);
+
+    /// Stops accepting, hands ownership over and finishes what runs; then calls `on_stopped`.
+    void shut_down();
+
+private:
+    using front_task = runtime::loop_task<front_logic>;
+
+    void part_stopped();
+
+    telemetry::entry_metrics metrics_;
+    std::function<void()> on_stopped_;
+    std::atomic<std::size_t> running_parts_;
+    runtime::address<dispatcher_message> dispatcher_box_;
+    runtime::address<outgoing_message> link_box_;
+    runtime::address<start_order> target_box_;
+    std::vector<runtime::address<front_message>> front_boxes_;
+    std::vector<std::unique_ptr<front_task>> fronts_;
+    std::unique_ptr<runtime::loop_task<target_logic>> targets_;
+    std::unique_ptr<runtime::loop_task<link_logic>> links_;
+    std::unique_ptr<runtime::loop_task<dispatcher_logic>> dispatcher_;
+};
+
+} // namespace hawthornstall::entry
--- a/src/hawthornstall/entry/shard.cpp
+++ b/src/hawthornstall/entry/shard.cpp
@@ -115,6 +115,16 @@
     job.request = std::move(request);
     job.waiters = {reply_to};
     job.deadline = deadline;
+    if (log_.state().find(key) != nullptr) {
+        // An earlier owner registered it, and every attempt ended in a way that may be repeated.
+        // Registering it under this epoch lets the table continue the count of its attempts.
+        journal::job_records records;
+        records.submission = key;
+        records.registration = {.digest = digest,
+                                .task_count = static_cast<std::uint32_t>(job.request.tasks.size())};
+        job.registered = true;
+        take_journal_effects(log_.append(records, at.now).effects, at);
+    }
     open(std::move(job), at);
 }
 
@@ -210,6 +220,10 @@
     }
     replace_scheduler_when_idle(at);
     run_decisions(at);
+    if (draining_ && is_idle() && log_.is_serving()) {
+        log_.release();
+        effects_.emplace_back(ownership_changed{});
+    }
     return take_effects(at);
 }
 
