--- /dev/null
+++ b/tools/common/start_log.cpp
@@ -0,0 +1,124 @@
+#include "start_log.hpp"
+
+#include "hawthornstall/core/error.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <unistd.h>
+#include <utility>
+
+namespace hawthornstall::tools {
+namespace detail {
+
+bool is_word(std::string_view text) {
+    return !text.empty() && std::ranges::all_of(text, [](unsigned char character) {
+        return character > ' ' && character != 0x7f;
+    });
+}
+
+/// Splits at single blanks; empty when there are not exactly four words.
+std::array<std::string_view, 4> split(std::string_view line) {
+    std::array<std::string_view, 4> words;
+    for (std::size_t index = 0; index < words.size(); ++index) {
+        const auto blank = line.find(' ');
+        if ((index + 1 == words.size()) != (blank == std::string_view::npos)) {
+            return {};
+        }
+        words.at(index) = line.substr(0, blank);
+        line.remove_prefix(std::min(line.size(), blank == line.npos ? blank : blank + 1));
+    }
+    return words;
+}
+
+} // namespace detail
+
+bool is_loggable(const task_start& start) {
+    return detail::is_word(start.task) && detail::is_word(start.attempt);
+}
+
+absl::StatusOr<start_log> start_log::open(const std::string& path) {
+    if (path.empty()) {
+        return start_log{-1};
+    }
+    constexpr mode_t file_mode = 0644;
+    const int descriptor =
+        ::open(path.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, file_mode);
+    if (descriptor < 0) {
+        return core::make_error(absl::StatusCode::kUnavailable,
+                                {.step = "open_start_log", .peer = {}},
+                                path + ": " + std::strerror(errno));
+    }
+    return start_log{descriptor};
+}
+
+start_log::~start_log() {
+    if (descriptor_ >= 0) {
+        close(descriptor_);
+    }
+}
+
+start_log::start_log(start_log&& other) noexcept
+    : descriptor_(std::exchange(other.descriptor_, -1)) {}
+
+start_log& start_log::operator=(start_log&& other) noexcept {
+    std::swap(descriptor_, other.descriptor_);
+    return *this;
+}
+
+bool start_log::write(task_event event, core::time_ms wall_time, const task_start& start) const {
+    if (descriptor_ < 0) {
+        return true;
+    }
+    std::string line{event == task_event::start ? "start " : "end "};
+    line.append(std::to_string(core::to_count(wall_time))).append(" ");
+    line.append(start.task).append(" ").append(start.attempt).append("\n");
+    return ::write(descriptor_, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+}
+
+absl::Status start_count::add(std::string_view log) {
+    for (auto end = log.find('\n'); end != std::string_view::npos; end = log.find('\n')) {
+        if (auto added = add_line(log.substr(0, end)); !added.ok()) {
+            return added;
+        }
+        log.remove_prefix(end + 1);
+    }
+    return absl::OkStatus();
+}
+
+absl::Status start_count::add_line(std::string_view line) {
+    const auto [event, time, task, attempt] = detail::split(line);
+    if ((event != "start" && event != "end") || !is_loggable({task, attempt})) {
+        return core::make_error(absl::StatusCode::kInvalidArgument,
+                                {.step = "read_start_log", .peer = {}},
+                                "line cannot be read: " + std::string{line});
+    }
+    if (event == "start") {
+        ++starts_;
+        attempts_[std::string{task}].emplace_back(attempt);
+    }
+    return absl::OkStatus();
+}
+
+std::vector<std::string> start_count::violations(repeat_rule rule) const {
+    std::vector<std::string> found;
+    for (const auto& [task, attempts] : attempts_) {
+        auto sorted = attempts;
+        std::ranges::sort(sorted);
+        const bool repeated = rule == repeat_rule::refuse_repeats
+                                  ? sorted.size() > 1
+                                  : std::ranges::adjacent_find(sorted) != sorted.end();
+        if (repeated) {
+            auto& line = found.emplace_back(task + " started " + std::to_string(sorted.size()) +
+                                            " times, attempts");
+            for (const auto& attempt : sorted) {
+                line.append(" ").append(attempt);
+            }
+        }
+    }
+    return found;
+}
+
+} // namespace hawthornstall::tools
