--- a/src/hawthornstall/runtime/loop_task.hpp
+++ b/src/hawthornstall/runtime/loop_task.hpp
@@ -6,6 +6,9 @@
 #include "hawthornstall/runtime/mailbox.hpp"
 
 #include <concepts>
+#include <exception>
+#include <future>
+#include <memory>
 #include <thread>
 #include <utility>
 
@@ -47,13 +50,26 @@
     }
 
 private:
+    template <class... Arguments> void run(std::promise<void>& attached, Arguments... arguments) {
+        std::unique_ptr<Logic> logic;
+        try {
+            logic = std::make_unique<Logic>(std::move(arguments)...);
+            logic->attach(loop_);
+        } catch (...) {
+            attached.set_exception(std::current_exception());
+            return;
+        }
+        // From here on the constructor may return, so `attached` is not touched again.
+        attached.set_value();
+        serve(*logic);
+    }
+
     void serve(Logic& logic) {
         const auto deliver = [this, &logic] {
             for (auto& item : inbox_->take_all()) {
                 logic.handle(std::move(item));
             }
         };
-        logic.attach(loop_);
         const auto inbox_event = loop_.on_readable(inbox_->descriptor(), deliver);
         const auto stop_event =
             loop_.on_readable(stop_request_.descriptor(), [this] { loop_.stop(); });
--- a/tests/hawthornstall/runtime/loop_task_test.cpp
+++ b/tests/hawthornstall/runtime/loop_task_test.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <future>
+#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -64,6 +65,20 @@
     }
 }
 
+/// Fails to set up its sockets.
+class failing_logic {
+public:
+    using message = int;
+    void attach(event_loop& /*loop*/) { throw std::runtime_error{"address in use"}; }
+    void handle(int /*value*/) {}
+};
+
+// Guards against a process that ends without a reason when an address is taken.
+TEST_CASE("a task that can't be set up reports why") {
+    CHECK_THROWS_WITH_AS(loop_task<failing_logic>{make_mailbox<int>(1)}, "address in use",
+                         std::runtime_error);
+}
+
 // Guards against unbounded memory under overload and against messages taken after shutdown.
 TEST_CASE("a full or closed mailbox refuses messages") {
     mailbox<int> inbox{2};
