Add the consensus state machine of the configuration log

Control hosts need to agree on the order of edits without a consensus library. A node takes messages and time and returns effects; what it writes is synced once per finish(), and only then are the messages that depend on it handed out. election, replication_progress, append_planner and member_changes are separate and free of the storage, which is a concept.

A host whose data folder is lost comes back under a new identity: it joins as a learner, the earlier identity is removed, and then the learner is promoted. Ruled out: replacing the identity in one step, because a majority of {A, B, C-old} and one of {A, B, C-new} need not overlap.

Random schedules (drops, duplicates, reordering, crashes, isolated leaders, emptied disks right after a repair, racing and resent edits) check six invariants over the recorded history.

Not covered here: the read path has no test yet.

--- /dev/null
+++ b/src/hawthornstall/control/config_replica.hpp
@@ -0,0 +1,152 @@
+#pragma once
+
+/// One replica of the service documents: a consensus node together with the state it replicates.
+
+#include "hawthornstall/control/consensus_node.hpp"
+#include "hawthornstall/control/document_store.hpp"
+
+#include <concepts>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace hawthornstall::control {
+
+/// What a replica needs of the state it replicates.
+template <class Store>
+concept replicated_store = requires(Store store, const Store& reader, const edit_command& edit,
+                                    store_snapshot snapshot) {
+    { store.apply(edit) } -> std::same_as<edit_answer>;
+    { reader.snapshot() } -> std::same_as<store_snapshot>;
+    { reader.revision() } -> std::convertible_to<std::uint64_t>;
+    store.restore(std::move(snapshot));
+};
+
+/// End of a submitted edit.
+struct submitted_edit {
+    std::uint64_t token = 0;
+    /// Empty when leadership was lost: the edit may still be accepted, and resending it under the
+    /// same identifier gives its answer.
+    std::optional<edit_answer> answer;
+
+    bool operator==(const submitted_edit&) const = default;
+};
+
+struct replica_output {
+    std::vector<submitted_edit> edits;
+    std::vector<peer_message> messages;
+    bool documents_changed = false;
+};
+
+template <log_storage Storage, replicated_store Store = document_store> class config_replica {
+public:
+    /// Fails when the snapshot of `storage` cannot be read.
+    [[nodiscard]] static absl::StatusOr<config_replica> open(Storage storage,
+                                                             consensus_settings settings,
+                                                             std::uint64_t seed, core::time_ms now,
+                                                             Store store = Store{}) {
+        auto snapshot = storage.load_snapshot();
+        if (!snapshot.ok()) {
+            return snapshot.status();
+        }
+        store.restore(std::move(snapshot->state));
+        return config_replica{std::move(storage), std::move(settings), seed, now, std::move(store)};
+    }
+
+    void receive(const peer_message& message, core::time_ms now) { node_.receive(message, now); }
+    void tick(core::time_ms now) { node_.tick(now); }
+
+    /// False when this replica is not the leader. Otherwise a later finish() ends `token`.
+    [[nodiscard]] bool submit(edit_command edit, std::uint64_t token) {
+        const auto position = node_.propose(std::move(edit));
+        if (position) {
+            pending_[position->index] = {.term = position->term, .token = token};
+        }
+        return position.has_value();
+    }
+
+    /// Applies what was committed and hands out messages. After an error the replica must stop.
+    [[nodiscard]] absl::StatusOr<replica_output> finish(core::time_ms now) {
+        auto effects = node_.finish(now);
+        if (!effects.ok()) {
+            return effects.status();
+        }
+        replica_output output;
+        const auto revision = store_.revision();
+        if (effects->restored) {
+            store_.restore(std::move(effects->restored->state));
+        }
+        for (const auto& entry : effects->committed) {
+            apply(entry, output);
+        }
+        if (!node_.is_leader()) {
+            give_up_pending(output);
+        }
+        output.documents_changed = store_.revision() != revision;
+        output.messages = std::move(effects->messages);
+        compact();
+        return output;
+    }
+
+    /// Digest for entry hosts; empty before the state was confirmed for the first time.
+    [[nodiscard]] std::optional<config_digest> digest(core::time_ms now) {
+        const auto confirmed = node_.confirmed_at();
+        if (!confirmed) {
+            return std::nullopt;
+        }
+        return config_digest{.revision = store_.revision(),
+                             .versions_hash = versions_hash(store_.documents()),
+                             .confirmation_age = now - *confirmed};
+    }
+
+    [[nodiscard]] const Store& store() const noexcept { return store_; }
+    [[nodiscard]] consensus_node<Storage>& node() noexcept { return node_; }
+    [[nodiscard]] const consensus_node<Storage>& node() const noexcept { return node_; }
+
+private:
+    struct pending_edit {
+        std::uint64_t term = 0;
+        std::uint64_t token = 0;
+    };
+
+    config_replica(Storage storage, consensus_settings settings, std::uint64_t seed,
+                   core::time_ms now, Store store)
+        : compact_after_(settings.compact_after_entries), store_(std::move(store)),
+          node_(std::move(storage), std::move(settings), seed, now) {}
+
+    void apply(const log_entry& entry, replica_output& output) {
+        std::optional<edit_answer> answer;
+        if (const auto* const edit = std::get_if<edit_command>(&entry.payload)) {
+            answer = store_.apply(*edit);
+        }
+        const auto pending = pending_.find(entry.position.index);
+        if (pending != pending_.end()) {
+            const bool is_own = pending->second.term == entry.position.term;
+            output.edits.push_back({pending->second.token, is_own ? answer : std::nullopt});
+            pending_.erase(pending);
+        }
+    }
+
+    void give_up_pending(replica_output& output) {
+        for (const auto& [index, pending] : pending_) {
+            output.edits.push_back({pending.token, std::nullopt});
+        }
+        pending_.clear();
+    }
+
+    void compact() {
+        const auto commit = node_.commit_index();
+        if (commit - node_.storage().log().base().index >= compact_after_) {
+            node_.compact(commit, store_.snapshot());
+        }
+    }
+
+    std::size_t compact_after_;
+    Store store_;
+    consensus_node<Storage> node_;
+    std::map<std::uint64_t, pending_edit> pending_;
+};
+
+} // namespace hawthornstall::control
--- /dev/null
+++ b/src/hawthornstall/control/detail/consensus_node_impl.hpp
@@ -0,0 +1,236 @@
+#pragma once
+
+/// Member functions of consensus_node. Included by consensus_node.hpp only.
+
+#include "hawthornstall/control/consensus_node.hpp"
+
+#include <algorithm>
+#include <variant>
+
+namespace hawthornstall::control {
+
+template <log_storage Storage>
+consensus_node<Storage>::consensus_node(Storage storage, consensus_settings settings,
+                                        std::uint64_t seed, core::time_ms now)
+    : storage_(std::move(storage)), settings_(std::move(settings)),
+      election_(storage_.state(), settings_.election_timeout, seed, now),
+      members_(storage_.log().members_at(storage_.log().last().index)),
+      cluster_(storage_.state().cluster), commit_(storage_.log().base().index),
+      handed_out_(commit_), heartbeat_at_(now), join_at_(now) {}
+
+template <log_storage Storage>
+bool consensus_node<Storage>::is_for_this_member(const peer_message& message) const {
+    const bool is_join = std::holds_alternative<join_request>(message.body);
+    const bool from_leader = std::holds_alternative<append_request>(message.body) ||
+                             std::holds_alternative<snapshot_request>(message.body);
+    const bool addressed = message.to == self() ||
+                           (is_join && message.to == member_id{.host = self().host, .disk = 0});
+    // A member without a cluster takes the one of the leader that took it in.
+    const bool same_cluster = message.cluster == cluster_ || (is_join && message.cluster == 0) ||
+                              (from_leader && cluster_ == 0);
+    return addressed && same_cluster && message.from.disk != 0;
+}
+
+template <log_storage Storage>
+void consensus_node<Storage>::receive(const peer_message& message, core::time_ms now) {
+    if (!failure_.ok() || !is_for_this_member(message)) {
+        return;
+    }
+    std::visit([&](const auto& body) { handle(message.from, body, now); }, message.body);
+    if (cluster_ == 0 && election_.leader() == message.from) {
+        cluster_ = message.cluster;
+    }
+    lead_if_elected(now);
+}
+
+template <log_storage Storage> void consensus_node<Storage>::tick(core::time_ms now) {
+    send_all(election_.tick(view(), now));
+    lead_if_elected(now);
+    if (is_leader() && now >= heartbeat_at_) {
+        heartbeat_at_ = now + settings_.heartbeat_every;
+        progress_.start_probe(now);
+        // A leader that no quorum hears must stop, so that callers turn to another member.
+        if (now - progress_.confirmed_at(members_.voters) > settings_.election_timeout &&
+            members_.voters.size() > 1) {
+            election_.step_down(now);
+        }
+    }
+    ask_to_join(now);
+}
+
+template <log_storage Storage>
+void consensus_node<Storage>::handle(const member_id& from, const vote_request& request,
+                                     core::time_ms now) {
+    if (const auto reply = election_.answer(from, request, view(), now)) {
+        send(from, *reply);
+    }
+}
+
+template <log_storage Storage>
+void consensus_node<Storage>::handle(const member_id& from, const vote_reply& reply,
+                                     core::time_ms now) {
+    send_all(election_.count(from, reply, view(), now));
+}
+
+template <log_storage Storage>
+void consensus_node<Storage>::handle(const member_id& from, const append_request& request,
+                                     core::time_ms now) {
+    append_reply reply{
+        .term = election_.term(), .matched = false, .index = 0, .probe = request.probe};
+    if (request.term >= election_.term()) {
+        election_.observe_leader(from, request.term, now);
+        reply.term = request.term;
+        reply.matched = take_entries(request);
+        const auto end = request.previous.index + request.entries.size();
+        reply.index =
+            reply.matched ? end : std::min(storage_.log().last().index, request.previous.index - 1);
+        if (reply.matched) {
+            commit_ = std::max(commit_, std::min(request.commit, end));
+            if (request.quorum_age && commit_ >= request.commit) {
+                leader_confirmed_at_ = now - *request.quorum_age;
+            }
+        }
+    }
+    send(from, reply);
+}
+
+/// False when the entry before the new ones is missing or of another term.
+template <log_storage Storage>
+bool consensus_node<Storage>::take_entries(const append_request& request) {
+    const auto& log = storage_.log();
+    const auto base = log.base().index;
+    // Everything up to the base is committed and therefore equal to the leader's log.
+    if (request.previous.index >= base &&
+        log.term_at(request.previous.index) != request.previous.term) {
+        return false;
+    }
+    const auto fresh = std::ranges::find_if(request.entries, [&](const log_entry& entry) {
+        return entry.position.index > base &&
+               log.term_at(entry.position.index) != entry.position.term;
+    });
+    if (fresh == request.entries.end()) {
+        return true;
+    }
+    if (fresh->position.index <= commit_) {
+        note(core::make_error(absl::StatusCode::kDataLoss, {.step = "append_entries", .peer = {}},
+                              "the leader's log contradicts a committed entry"));
+        return false;
+    }
+    append({fresh, request.entries.end()});
+    return true;
+}
+
+template <log_storage Storage>
+void consensus_node<Storage>::handle(const member_id& from, const append_reply& reply,
+                                     core::time_ms /*now*/) {
+    election_.observe_term(reply.term);
+    auto* const progress = progress_.find(from);
+    if (is_leader() && reply.term == election_.term() && progress != nullptr) {
+        note_reply(reply, *progress);
+    }
+}
+
+template <log_storage Storage>
+void consensus_node<Storage>::handle(const member_id& from, const snapshot_request& request,
+                                     core::time_ms now) {
+    append_reply reply{
+        .term = election_.term(), .matched = false, .index = 0, .probe = request.probe};
+    if (request.term >= election_.term()) {
+        election_.observe_leader(from, request.term, now);
+        reply.term = request.term;
+        reply.matched = true;
+        reply.index = request.snapshot.position.index;
+        if (request.snapshot.position.index > commit_) {
+            note(storage_.install(request.snapshot));
+            members_ = storage_.log().members_at(storage_.log().last().index);
+            commit_ = handed_out_ = request.snapshot.position.index;
+            effects_.restored = request.snapshot;
+        }
+    }
+    send(from, reply);
+}
+
+template <log_storage Storage>
+void consensus_node<Storage>::handle(const member_id& from, const join_request& /*request*/,
+                                     core::time_ms now) {
+    if (std::ranges::find(settings_.hosts, from.host) != settings_.hosts.end()) {
+        joins_.note(from, now);
+    }
+}
+
+template <log_storage Storage>
+std::optional<log_position> consensus_node<Storage>::propose(edit_command edit) {
+    if (!is_leader() || !failure_.ok()) {
+        return std::nullopt;
+    }
+    return append_own(std::move(edit));
+}
+
+template <log_storage Storage>
+std::optional<read_ticket> consensus_node<Storage>::start_read(core::time_ms now) {
+    if (!is_leader() || !has_committed_in_term()) {
+        return std::nullopt;
+    }
+    return read_ticket{.term = election_.term(), .probe = progress_.start_probe(now)};
+}
+
+template <log_storage Storage>
+read_state consensus_node<Storage>::check(const read_ticket& ticket) const {
+    if (!is_leader() || ticket.term != election_.term()) {
+        return read_state::lost;
+    }
+    return progress_.quorum_probe(members_.voters) >= ticket.probe ? read_state::confirmed
+                                                                   : read_state::waiting;
+}
+
+template <log_storage Storage> bool consensus_node<Storage>::remove(const member_id& member) {
+    if (!may_change_members() || member == self() || !is_member(members_, member)) {
+        return false;
+    }
+    append_own(without(members_, member));
+    return true;
+}
+
+template <log_storage Storage>
+void consensus_node<Storage>::compact(std::uint64_t index, store_snapshot state) {
+    const auto& log = storage_.log();
+    const auto term = log.term_at(index);
+    if (!failure_.ok() || !term || index <= log.base().index || index > handed_out_) {
+        return;
+    }
+    log_snapshot snapshot;
+    snapshot.position = {.term = *term, .index = index};
+    snapshot.members = log.members_at(index);
+    snapshot.state = std::move(state);
+    note(storage_.install(snapshot));
+}
+
+template <log_storage Storage>
+absl::StatusOr<node_effects> consensus_node<Storage>::finish(core::time_ms now) {
+    change_members(now);
+    make_durable();
+    if (is_leader() && failure_.ok()) {
+        advance_commit();
+        send_appends(now);
+    }
+    hand_out_committed();
+    if (!failure_.ok()) {
+        return failure_;
+    }
+    return std::exchange(effects_, {});
+}
+
+template <log_storage Storage>
+std::optional<core::time_ms> consensus_node<Storage>::confirmed_at() {
+    if (!is_leader()) {
+        return leader_confirmed_at_;
+    }
+    if (!has_committed_in_term()) {
+        return std::nullopt;
+    }
+    return progress_.confirmed_at(members_.voters);
+}
+
+} // namespace hawthornstall::control
+
+#include "hawthornstall/control/detail/consensus_node_leader.hpp"
--- a/src/hawthornstall/control/document_store.hpp
+++ b/src/hawthornstall/control/document_store.hpp
@@ -54,7 +54,8 @@
 /// accepted before cannot be accepted a second time, because its base version is in the past.
 class document_store {
 public:
-    explicit document_store(store_bounds bounds = {})
+    document_store() : document_store(store_bounds{}) {}
+    explicit document_store(store_bounds bounds)
         : bounds_(bounds), accepted_edits_(bounds.remembered_edits),
           refused_edits_(bounds.remembered_edits) {}
 
--- /dev/null
+++ b/src/hawthornstall/control/election.cpp
@@ -0,0 +1,146 @@
+#include "hawthornstall/control/election.hpp"
+
+#include <algorithm>
+
+namespace hawthornstall::control {
+namespace detail {
+
+bool at_least_as_complete(log_position candidate, log_position own) {
+    return std::tie(candidate.term, candidate.index) >= std::tie(own.term, own.index);
+}
+
+} // namespace detail
+
+bool is_quorum(std::span<const member_id> voters, const std::set<member_id>& counted) {
+    const auto count = std::ranges::count_if(
+        voters, [&](const member_id& voter) { return counted.count(voter) != 0; });
+    return 2 * static_cast<std::size_t>(count) > voters.size();
+}
+
+election::election(const hard_state& state, core::duration_ms timeout, std::uint64_t seed,
+                   core::time_ms now)
+    : self_(state.self), timeout_(timeout),
+      random_(static_cast<std::minstd_rand::result_type>(seed)), term_(state.term),
+      voted_for_(state.voted_for), leader_contact_(now - timeout) {
+    restart_timer(now);
+}
+
+std::vector<addressed_body> election::tick(const election_view& view, core::time_ms now) {
+    const bool may_lead =
+        std::ranges::find(view.members.voters, self_) != view.members.voters.end();
+    if (role_ == member_role::leader || now < deadline_ || !may_lead) {
+        return {};
+    }
+    return campaign(true, view, now);
+}
+
+std::vector<addressed_body> election::campaign(bool pre_vote, const election_view& view,
+                                               core::time_ms now) {
+    leader_.reset();
+    votes_ = {self_};
+    restart_timer(now);
+    if (pre_vote) {
+        role_ = member_role::pre_candidate;
+    } else {
+        role_ = member_role::candidate;
+        ++term_;
+        voted_for_ = self_;
+    }
+    if (is_quorum(view.members.voters, votes_)) {
+        if (pre_vote) {
+            return campaign(false, view, now);
+        }
+        role_ = member_role::leader;
+        leader_ = self_;
+        return {};
+    }
+    const vote_request request{
+        .pre_vote = pre_vote, .term = pre_vote ? term_ + 1 : term_, .last = view.last};
+    std::vector<addressed_body> messages;
+    for (const auto& voter : view.members.voters) {
+        if (voter != self_) {
+            messages.push_back({voter, request});
+        }
+    }
+    return messages;
+}
+
+std::optional<vote_reply> election::answer(const member_id& from, const vote_request& request,
+                                           const election_view& view, core::time_ms now) {
+    // A member that hears its leader keeps it; otherwise one badly connected member could depose
+    // a working leader again and again.
+    if (hears_leader(now)) {
+        return std::nullopt;
+    }
+    const bool complete = detail::at_least_as_complete(request.last, view.last);
+    if (request.pre_vote) {
+        const bool granted = complete && request.term > term_;
+        return vote_reply{
+            .pre_vote = true, .term = granted ? request.term : term_, .granted = granted};
+    }
+    observe_term(request.term);
+    const bool granted = complete && request.term == term_ && (!voted_for_ || *voted_for_ == from);
+    if (granted) {
+        voted_for_ = from;
+        restart_timer(now);
+    }
+    return vote_reply{.pre_vote = false, .term = term_, .granted = granted};
+}
+
+std::vector<addressed_body> election::count(const member_id& from, const vote_reply& reply,
+                                            const election_view& view, core::time_ms now) {
+    if (!reply.granted) {
+        observe_term(reply.term);
+        return {};
+    }
+    const bool counts = reply.pre_vote
+                            ? role_ == member_role::pre_candidate && reply.term == term_ + 1
+                            : role_ == member_role::candidate && reply.term == term_;
+    if (!counts) {
+        return {};
+    }
+    votes_.insert(from);
+    if (!is_quorum(view.members.voters, votes_)) {
+        return {};
+    }
+    if (reply.pre_vote) {
+        return campaign(false, view, now);
+    }
+    role_ = member_role::leader;
+    leader_ = self_;
+    return {};
+}
+
+void election::observe_term(std::uint64_t term) {
+    if (term > term_) {
+        term_ = term;
+        voted_for_.reset();
+        leader_.reset();
+        role_ = member_role::follower;
+    }
+}
+
+void election::observe_leader(const member_id& leader, std::uint64_t term, core::time_ms now) {
+    observe_term(term);
+    role_ = member_role::follower;
+    leader_ = leader;
+    leader_contact_ = now;
+    restart_timer(now);
+}
+
+void election::step_down(core::time_ms now) {
+    role_ = member_role::follower;
+    leader_.reset();
+    restart_timer(now);
+}
+
+bool election::hears_leader(core::time_ms now) const {
+    return role_ == member_role::leader || (leader_ && now - leader_contact_ < timeout_);
+}
+
+void election::restart_timer(core::time_ms now) {
+    std::uniform_int_distribution<core::duration_ms::rep> extra{0, timeout_.count()};
+    deadline_ = now + timeout_ + core::duration_ms{extra(random_)};
+}
+
+} // namespace hawthornstall::control
--- /dev/null
+++ b/src/hawthornstall/control/election.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+/// Election of a leader with pre-vote. Pure: input and time in, messages out.
+
+#include "hawthornstall/control/consensus_messages.hpp"
+#include "hawthornstall/control/consensus_settings.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace hawthornstall::control {
+
+enum class member_role : std::uint8_t { follower, pre_candidate, candidate, leader };
+
+/// What an election depends on besides its own state.
+struct election_view {
+    const member_set& members; ///< Latest members in the log.
+    log_position last;         ///< Last entry of the log.
+};
+
+/// A body and its receiver.
+struct addressed_body {
+    member_id to;
+    peer_body body;
+};
+
+/// Whether more than half of `voters` satisfy `counted`.
+[[nodiscard]] bool is_quorum(std::span<const member_id> voters, const std::set<member_id>& counted);
+
+/// Role, term and vote of one member. The owner makes term() and voted_for() durable before it
+/// sends any message returned here.
+class election {
+public:
+    election(const hard_state& state, core::duration_ms timeout, std::uint64_t seed,
+             core::time_ms now);
+
+    /// Starts an election when the leader has been silent for too long.
+    [[nodiscard]] std::vector<addressed_body> tick(const election_view& view, core::time_ms now);
+
+    /// Empty when the request is ignored, because a leader is alive.
+    [[nodiscard]] std::optional<vote_reply> answer(const member_id& from,
+                                                   const vote_request& request,
+                                                   const election_view& view, core::time_ms now);
+
+    [[nodiscard]] std::vector<addressed_body> count(const member_id& from, const vote_reply& reply,
+                                                    const election_view& view, core::time_ms now);
+
+    /// Follows a higher term; ignores others.
+    void observe_term(std::uint64_t term);
+
+    /// Follows the leader of a current or higher term.
+    void observe_leader(const member_id& leader, std::uint64_t term, core::time_ms now);
+
+    /// Gives up leadership or candidacy within the term.
+    void step_down(core::time_ms now);
+
+    [[nodiscard]] member_role role() const noexcept { return role_; }
+    [[nodiscard]] std::uint64_t term() const noexcept { return term_; }
+    [[nodiscard]] const std::optional<member_id>& voted_for() const noexcept { return voted_for_; }
+
+    /// Leader of the term, empty while it is unknown.
+    [[nodiscard]] const std::optional<member_id>& leader() const noexcept { return leader_; }
+    [[nodiscard]] core::time_ms leader_contact() const noexcept { return leader_contact_; }
+
+private:
+    [[nodiscard]] std::vector<addressed_body> campaign(bool pre_vote, const election_view& view,
+                                                       core::time_ms now);
+    [[nodiscard]] bool hears_leader(core::time_ms now) const;
+    void restart_timer(core::time_ms now);
+
+    member_id self_;
+    core::duration_ms timeout_;
+    std::minstd_rand random_;
+    member_role role_ = member_role::follower;
+    std::uint64_t term_;
+    std::optional<member_id> voted_for_;
+    std::optional<member_id> leader_;
+    core::time_ms leader_contact_;
+    core::time_ms deadline_;
+    std::set<member_id> votes_;
+};
+
+} // namespace hawthornstall::control
--- /dev/null
+++ b/src/hawthornstall/control/log_storage.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+/// What the consensus node needs of a storage.
+
+#include "hawthornstall/control/memory_log.hpp"
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <concepts>
+#include <span>
+
+namespace hawthornstall::control {
+
+/// Storage of one member. After an error the member must stop: it no longer knows what is durable.
+///
+/// - `state()`, `log()`: what is written, durable or not.
+/// - `save_state(state)`: durable on return.
+/// - `append(entries)`: as memory_log::append; durable after the next `sync()`.
+/// - `install(snapshot)`: durable on return; the log follows memory_log::rebase.
+/// - `load_snapshot()`: the latest installed snapshot; empty default when there is none.
+template <class Storage>
+concept log_storage = std::movable<Storage> &&
+    requires(Storage storage, const Storage& reader, const hard_state& state,
+             std::span<const log_entry> entries, const log_snapshot& snapshot) {
+    { reader.state() } -> std::same_as<const hard_state&>;
+    { reader.log() } -> std::same_as<const memory_log&>;
+    { reader.load_snapshot() } -> std::same_as<absl::StatusOr<log_snapshot>>;
+    { storage.save_state(state) } -> std::same_as<absl::Status>;
+    { storage.append(entries) } -> std::same_as<absl::Status>;
+    { storage.sync() } -> std::same_as<absl::Status>;
+    { storage.install(snapshot) } -> std::same_as<absl::Status>;
+};
+
+} // namespace hawthornstall::control
--- /dev/null
+++ b/src/hawthornstall/control/member_changes.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+/// Which change of the members a leader makes next. Changes are made one at a time.
+
+#include "hawthornstall/control/consensus_types.hpp"
+#include "hawthornstall/core/ms_clock.hpp"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace hawthornstall::control {
+
+/// Hosts that asked to join and still wait.
+class join_queue {
+public:
+    void note(const member_id& member, core::time_ms now) {
+        asked_at_[member.host] = {member, now};
+    }
+
+    /// Members that asked within `keep`; forgets the others.
+    [[nodiscard]] std::vector<member_id> waiting(core::time_ms now, core::duration_ms keep);
+
+private:
+    struct request {
+        member_id member;
+        core::time_ms time;
+    };
+
+    std::map<std::string, request> asked_at_;
+};
+
+/// Removes `member` from voters and learners.
+[[nodiscard]] member_set without(member_set members, const member_id& member);
+
+[[nodiscard]] bool is_voter(const member_set& members, const member_id& member);
+[[nodiscard]] bool is_member(const member_set& members, const member_id& member);
+
+/// Next step towards all `joining` members being voters; empty when there is none. `caught_up`
+/// lists the learners whose log is complete.
+///
+/// The earlier identity of a rejoining host is removed before the new one becomes a voter. Both in
+/// one step would be unsafe: a majority of {A, B, C-old} and one of {A, B, C-new} need not overlap.
+[[nodiscard]] std::optional<member_set> next_member_change(const member_set& current,
+                                                           const member_id& self,
+                                                           std::span<const member_id> joining,
+                                                           std::span<const member_id> caught_up);
+
+} // namespace hawthornstall::control
--- /dev/null
+++ b/src/hawthornstall/control/replication_progress.cpp
@@ -0,0 +1,83 @@
+#include "hawthornstall/control/replication_progress.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+namespace hawthornstall::control {
+namespace detail {
+
+/// Largest value that more than half of the values reach.
+std::uint64_t quorum_value(std::vector<std::uint64_t> values) {
+    if (values.empty()) {
+        return 0;
+    }
+    std::ranges::sort(values, std::greater{});
+    return values[values.size() / 2];
+}
+
+} // namespace detail
+
+void replication_progress::start(const member_set& members, std::uint64_t last_index,
+                                 core::time_ms now) {
+    members_.clear();
+    probes_.clear();
+    // The vote that made the leader counts as confirmation until the first round is answered.
+    probes_.push_back({.probe = 0, .time = now});
+    probe_ = 0;
+    set_members(members, last_index);
+}
+
+void replication_progress::set_members(const member_set& members, std::uint64_t last_index) {
+    std::map<member_id, member_progress> updated;
+    for (const auto* group : {&members.voters, &members.learners}) {
+        for (const auto& member : *group) {
+            const auto* const known = find(member);
+            updated[member] = known == nullptr ? member_progress{.next = last_index + 1} : *known;
+        }
+    }
+    members_.swap(updated);
+}
+
+member_progress* replication_progress::find(const member_id& member) {
+    const auto found = members_.find(member);
+    return found == members_.end() ? nullptr : &found->second;
+}
+
+const member_progress* replication_progress::find(const member_id& member) const {
+    const auto found = members_.find(member);
+    return found == members_.end() ? nullptr : &found->second;
+}
+
+std::uint64_t replication_progress::start_probe(core::time_ms now) {
+    probes_.push_back({.probe = ++probe_, .time = now});
+    return probe_;
+}
+
+std::uint64_t replication_progress::quorum_matched(std::span<const member_id> voters) const {
+    std::vector<std::uint64_t> values;
+    for (const auto& voter : voters) {
+        const auto* const progress = find(voter);
+        values.push_back(progress == nullptr ? 0 : progress->matched);
+    }
+    return detail::quorum_value(std::move(values));
+}
+
+std::uint64_t replication_progress::quorum_probe(std::span<const member_id> voters) const {
+    std::vector<std::uint64_t> values;
+    for (const auto& voter : voters) {
+        const auto* const progress = find(voter);
+        values.push_back(progress == nullptr ? 0 : progress->probe);
+    }
+    return detail::quorum_value(std::move(values));
+}
+
+core::time_ms replication_progress::confirmed_at(std::span<const member_id> voters) {
+    const auto confirmed = quorum_probe(voters);
+    while (probes_.size() > 1 && probes_[1].probe <= confirmed) {
+        probes_.pop_front();
+    }
+    return probes_.front().time;
+}
+
+} // namespace hawthornstall::control
--- /dev/null
+++ b/tests/hawthornstall/control/cluster_simulation.hpp
@@ -0,0 +1,407 @@
+#pragma once
+
+/// A cluster of control hosts with clients and entry hosts on a virtual clock and a faulty network.
+
+#include "hawthornstall/control/applied_documents.hpp"
+#include "hawthornstall/control/config_replica.hpp"
+#include "hawthornstall/control/history.hpp"
+#include "hawthornstall/control/memory_storage.hpp"
+#include "hawthornstall/control/sample_edits.hpp"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace hawthornstall::control {
+
+/// What happens during a simulation.
+struct simulation_options {
+    core::duration_ms chaos{15'000}; ///< Time with faults.
+    core::duration_ms calm{12'000};  ///< Time without faults afterwards.
+    int drop_percent = 5;
+    int duplicate_percent = 5;
+    int longest_delay_steps = 6;      ///< Messages overtake each other within this time.
+    int crash_per_mille = 4;          ///< Per host and step.
+    int isolate_per_mille = 2;        ///< Per step: cuts off the leader, for up to 6 s.
+    int empty_disk_per_mille = 4;     ///< Per step, only while the cluster can bear it.
+    int resend_answered_percent = 20; ///< Clients that do not believe an answer.
+    storage_faults storage{};         ///< Deliberate faults.
+    bool keeps_identity = false;      ///< Deliberate fault: an emptied disk keeps its identity.
+};
+
+template <replicated_store Store = document_store, class Copy = applied_documents>
+class cluster_simulation {
+public:
+    static constexpr core::duration_ms step{20};
+    static constexpr std::size_t host_count = 3;
+    static constexpr std::uint64_t cluster_number = 77;
+
+    explicit cluster_simulation(std::uint64_t seed, simulation_options options = {})
+        : options_(options), random_(seed) {
+        for (std::size_t index = 0; index < host_count; ++index) {
+            settings_.hosts.push_back("control-" + std::to_string(index));
+        }
+        settings_.compact_after_entries = 12;
+        for (std::size_t index = 0; index < host_count; ++index) {
+            hosts_[index].disk = new_disk(index);
+        }
+        memory_storage first{hosts_[0].disk};
+        const auto created = create_cluster(first, cluster_number);
+        for (auto& host : hosts_) {
+            start(host);
+        }
+        failure_.Update(created);
+    }
+
+    /// Runs the faults and the calm after them.
+    void run() {
+        run_for(core::duration_ms{4'000}, false); // All hosts join.
+        run_for(options_.chaos, true);
+        run_for(options_.calm, false);
+        has_clients_ = false;
+        run_for(core::duration_ms{4'000}, false);
+        if (const auto leader = leader_index()) {
+            const auto audit = hosts_[*leader].replica->store().snapshot().audit;
+            seen_.final_audit.assign(audit.begin(), audit.end());
+        }
+    }
+
+    /// Runs without clients' or hosts' faults but with delays of the network.
+    void run_for(core::duration_ms duration, bool with_faults) {
+        faulty_ = with_faults;
+        for (const auto end = now_ + duration; now_ < end; now_ += step) {
+            advance();
+        }
+    }
+
+    /// Whether, after run(), all hosts are voters with equal documents that every entry host has.
+    [[nodiscard]] bool has_recovered() const {
+        const auto leader = leader_index();
+        if (!leader || hosts_[*leader].replica->node().members().voters.size() != host_count) {
+            return false;
+        }
+        const auto documents = hosts_[*leader].replica->store().snapshot();
+        bool recovered = !documents.audit.empty() && failure_.ok();
+        for (const auto& host : hosts_) {
+            recovered = recovered && host.replica->store().snapshot() == documents;
+        }
+        for (const auto& copy : copies_) {
+            recovered =
+                recovered && copy.revision() == documents.revision && !copy.may_be_stale(now_);
+        }
+        return recovered;
+    }
+
+    [[nodiscard]] const history& seen() const { return seen_; }
+    [[nodiscard]] const absl::Status& failure() const { return failure_; }
+    [[nodiscard]] std::size_t emptied_disks() const { return emptied_disks_; }
+    [[nodiscard]] const std::vector<core::duration_ms>& apply_times() const { return apply_times_; }
+
+private:
+    using replica_type = config_replica<memory_storage, Store>;
+
+    struct control_host {
+        std::shared_ptr<simulated_disk> disk;
+        std::optional<replica_type> replica;
+        core::time_ms down_until{};
+        core::time_ms isolated_until{};
+    };
+
+    struct client {
+        std::optional<edit_command> open;
+        core::time_ms resend_at{};
+        std::map<std::string, std::uint64_t> known_versions;
+    };
+
+    struct delivery {
+        core::time_ms time;
+        std::function<void()> deliver;
+    };
+
+    struct accepted_edit {
+        core::time_ms time{};
+        std::string service;
+        std::uint64_t version = 0;
+    };
+
+    bool chance(int part, int whole) {
+        return std::uniform_int_distribution<int>{0, whole - 1}(random_) < part;
+    }
+
+    std::size_t pick(std::size_t count) {
+        return std::uniform_int_distribution<std::size_t>{0, count - 1}(random_);
+    }
+
+    std::shared_ptr<simulated_disk> new_disk(std::size_t index) {
+        auto disk = std::make_shared<simulated_disk>();
+        const auto identity = options_.keeps_identity ? index + 1 : ++last_identity_;
+        disk->state.self = {.host = settings_.hosts[index], .disk = identity};
+        // The cluster number is what a member without its disk would otherwise be recognised by.
+        disk->state.cluster = options_.keeps_identity ? cluster_number : 0;
+        disk->faults = options_.storage;
+        return disk;
+    }
+
+    void start(control_host& host) {
+        auto opened = replica_type::open(memory_storage{host.disk}, settings_, random_(), now_);
+        failure_.Update(opened.status());
+        if (opened.ok()) {
+            host.replica.emplace(std::move(*opened));
+        }
+    }
+
+    /// Leader of the latest term; an isolated leader of an earlier one does not count.
+    [[nodiscard]] std::optional<std::size_t> leader_index() const {
+        std::optional<std::size_t> latest;
+        std::uint64_t latest_term = 0;
+        for (std::size_t index = 0; index < host_count; ++index) {
+            const auto& replica = hosts_[index].replica;
+            if (replica && replica->node().is_leader() &&
+                replica->node().vote_state().term() > latest_term) {
+                latest = index;
+                latest_term = replica->node().vote_state().term();
+            }
+        }
+        return latest;
+    }
+
+    [[nodiscard]] bool is_cut_off(const control_host& host) const {
+        return !host.replica || now_ < host.isolated_until;
+    }
+
+    void post(std::function<void()> deliver) {
+        if (faulty_ && chance(options_.drop_percent, 100)) {
+            return;
+        }
+        const int copies = faulty_ && chance(options_.duplicate_percent, 100) ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            const auto steps = 1 + pick(faulty_ ? options_.longest_delay_steps : 1);
+            network_.push_back({now_ + static_cast<int>(steps) * step, deliver});
+        }
+    }
+
+    void advance() {
+        std::vector<delivery> due;
+        std::erase_if(network_, [&](delivery& item) {
+            const bool is_due = item.time <= now_;
+            if (is_due) {
+                due.push_back(std::move(item));
+            }
+            return is_due;
+        });
+        for (auto& item : due) {
+            item.deliver();
+        }
+        if (faulty_) {
+            inject_faults();
+        }
+        for (auto& host : hosts_) {
+            serve(host);
+        }
+        for (auto& client : clients_) {
+            act(client);
+        }
+        if (now_ >= next_poll_) {
+            next_poll_ = now_ + core::duration_ms{500};
+            for (std::size_t copy = 0; copy < copies_.size(); ++copy) {
+                poll(copy);
+            }
+        }
+    }
+
+    void inject_faults() {
+        for (auto& host : hosts_) {
+            if (host.replica && chance(options_.crash_per_mille, 1'000)) {
+                crash(host);
+            }
+        }
+        if (chance(options_.isolate_per_mille, 1'000)) {
+            auto& victim = hosts_[leader_index().value_or(pick(host_count))];
+            victim.isolated_until = now_ + static_cast<int>(pick(6'000)) * core::duration_ms{1};
+        }
+        if (can_bear_an_empty_disk() && chance(options_.empty_disk_per_mille, 1'000)) {
+            const auto index = pick(host_count);
+            crash(hosts_[index]);
+            hosts_[index].disk = new_disk(index);
+            ++emptied_disks_;
+        }
+    }
+
+    void crash(control_host& host) {
+        host.replica.reset();
+        host.down_until = now_ + static_cast<int>(pick(2'000)) * core::duration_ms{1};
+    }
+
+    /// All voters of the most recent committed members still have their disks, so that one more
+    /// loss leaves a majority. The condition holds again as soon as a repair is committed.
+    [[nodiscard]] bool can_bear_an_empty_disk() const {
+        std::uint64_t commit = 0;
+        member_set members;
+        for (const auto& host : hosts_) {
+            if (host.replica && host.replica->node().commit_index() > commit) {
+                commit = host.replica->node().commit_index();
+                members = host.replica->node().storage().log().members_at(commit);
+            }
+        }
+        std::size_t alive = 0;
+        for (const auto& host : hosts_) {
+            alive += is_voter(members, host.disk->state.self) ? 1 : 0;
+        }
+        return members.voters.size() == host_count && alive == host_count;
+    }
+
+    void serve(control_host& host) {
+        if (!host.replica && now_ >= host.down_until) {
+            start(host);
+        }
+        if (!host.replica) {
+            return;
+        }
+        auto& replica = *host.replica;
+        replica.tick(now_);
+        auto output = replica.finish(now_);
+        failure_.Update(output.status());
+        if (!output.ok()) {
+            crash(host);
+            return;
+        }
+        record(replica);
+        for (auto& message : output->messages) {
+            send(host, std::move(message));
+        }
+        for (const auto& edit : output->edits) {
+            answer(host, edit);
+        }
+    }
+
+    void record(const replica_type& replica) {
+        const auto& node = replica.node();
+        if (node.is_leader()) {
+            seen_.leaders[node.vote_state().term()].insert(node.storage().state().self);
+        }
+        const auto commit = node.commit_index();
+        if (const auto term = node.storage().log().term_at(commit)) {
+            seen_.committed_terms[commit].insert(*term);
+        }
+    }
+
+    void send(const control_host& from, peer_message message) {
+        if (is_cut_off(from)) {
+            return;
+        }
+        post([this, message = std::move(message)] {
+            for (auto& host : hosts_) {
+                if (host.disk->state.self.host == message.to.host && !is_cut_off(host)) {
+                    host.replica->receive(message, now_);
+                }
+            }
+        });
+    }
+
+    void answer(const control_host& from, const submitted_edit& submitted) {
+        const auto edit = submitted_[submitted.token];
+        if (!submitted.answer) {
+            return;
+        }
+        seen_.answers.push_back({edit, *submitted.answer});
+        if (submitted.answer->result == edit_result::accepted) {
+            accepted_.push_back({now_, edit.service, submitted.answer->version});
+        }
+        if (is_cut_off(from)) {
+            return;
+        }
+        post([this, edit, answer = *submitted.answer] {
+            for (auto& client : clients_) {
+                if (client.open && client.open->edit_id == edit.edit_id) {
+                    client.known_versions[edit.service] = answer.version;
+                    if (!chance(options_.resend_answered_percent, 100)) {
+                        client.open.reset();
+                    }
+                }
+            }
+        });
+    }
+
+    void act(client& client) {
+        if (!client.open && has_clients_ && chance(20, 100)) {
+            const auto service = "service-" + std::to_string(pick(2));
+            client.open = make_edit("edit-" + std::to_string(++last_edit_),
+                                    client.known_versions[service], service);
+            client.resend_at = now_;
+        }
+        if (!client.open || !has_clients_ || now_ < client.resend_at) {
+            return;
+        }
+        client.resend_at = now_ + core::duration_ms{400};
+        post([this, edit = *client.open, target = pick(host_count)] {
+            auto& host = hosts_[target];
+            if (!is_cut_off(host) && host.replica->submit(edit, submitted_.size())) {
+                submitted_.push_back(edit);
+            }
+        });
+    }
+
+    /// One exchange between an entry host and some control host.
+    void poll(std::size_t copy) {
+        auto& host = hosts_[pick(host_count)];
+        if (is_cut_off(host)) {
+            return;
+        }
+        const auto digest = host.replica->digest(now_);
+        post([this, copy, digest, sent = now_,
+              delta = host.replica->store().delta_after(copies_[copy].revision())] {
+            auto& target = copies_[copy];
+            target.apply(delta);
+            if (digest) {
+                auto delayed = *digest;
+                delayed.confirmation_age += now_ - sent;
+                (void)target.check(delayed, now_);
+            }
+            observe(copy);
+        });
+    }
+
+    void observe(std::size_t copy) {
+        for (const auto& document : copies_[copy].documents()) {
+            seen_.versions.push_back(
+                {"entry-" + std::to_string(copy), document.service, document.version});
+        }
+        std::erase_if(accepted_, [&](const accepted_edit& edit) {
+            bool everywhere = true;
+            for (const auto& each : copies_) {
+                const auto* const document = each.find(edit.service);
+                everywhere = everywhere && document != nullptr && document->version >= edit.version;
+            }
+            if (everywhere) {
+                apply_times_.push_back(now_ - edit.time);
+            }
+            return everywhere;
+        });
+    }
+
+    simulation_options options_;
+    std::mt19937_64 random_;
+    consensus_settings settings_;
+    core::time_ms now_ = core::from_count(1'000'000);
+    core::time_ms next_poll_{};
+    bool faulty_ = false;
+    bool has_clients_ = true;
+    std::array<control_host, host_count> hosts_;
+    std::array<client, 3> clients_;
+    std::array<Copy, 2> copies_;
+    std::vector<delivery> network_;
+    std::vector<edit_command> submitted_;
+    std::vector<accepted_edit> accepted_;
+    std::vector<core::duration_ms> apply_times_;
+    std::uint64_t last_identity_ = 0;
+    std::uint64_t last_edit_ = 0;
+    std::size_t emptied_disks_ = 0;
+    history seen_;
+    absl::Status failure_;
+};
+
+} // namespace hawthornstall::control
--- /dev/null
+++ b/tests/hawthornstall/control/memory_storage.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+/// Storage on a simulated disk that survives a simulated crash.
+
+#include "hawthornstall/control/log_storage.hpp"
+
+#include <memory>
+#include <utility>
+
+namespace hawthornstall::control {
+
+/// Deliberate faults of a storage, for tests of the invariant checkers.
+struct storage_faults {
+    bool ignores_sync = false;  ///< Acknowledges entries that a crash loses.
+    bool forgets_votes = false; ///< A crash loses term and vote.
+};
+
+/// What a crash leaves.
+struct simulated_disk {
+    hard_state state;
+    memory_log log;
+    log_snapshot snapshot;
+    storage_faults faults;
+};
+
+/// Storage over a simulated disk. A new one over the same disk is the state after a crash.
+class memory_storage {
+public:
+    explicit memory_storage(std::shared_ptr<simulated_disk> disk)
+        : disk_(std::move(disk)), state_(disk_->state), log_(disk_->log) {}
+
+    [[nodiscard]] const hard_state& state() const { return state_; }
+    [[nodiscard]] const memory_log& log() const { return log_; }
+    [[nodiscard]] absl::StatusOr<log_snapshot> load_snapshot() const { return disk_->snapshot; }
+
+    [[nodiscard]] absl::Status save_state(const hard_state& state) {
+        state_ = state;
+        const auto term = disk_->state.term;
+        disk_->state = state;
+        if (disk_->faults.forgets_votes) {
+            disk_->state.term = term;
+            disk_->state.voted_for.reset();
+        }
+        return absl::OkStatus();
+    }
+
+    [[nodiscard]] absl::Status append(std::span<const log_entry> entries) {
+        log_.append(entries);
+        return absl::OkStatus();
+    }
+
+    [[nodiscard]] absl::Status sync() {
+        if (!disk_->faults.ignores_sync) {
+            disk_->log = log_;
+        }
+        return absl::OkStatus();
+    }
+
+    [[nodiscard]] absl::Status install(const log_snapshot& snapshot) {
+        log_.rebase(snapshot.position, snapshot.members);
+        disk_->log.rebase(snapshot.position, snapshot.members);
+        disk_->snapshot = snapshot;
+        return absl::OkStatus();
+    }
+
+private:
+    std::shared_ptr<simulated_disk> disk_;
+    hard_state state_;
+    memory_log log_;
+};
+
+static_assert(log_storage<memory_storage>);
+
+} // namespace hawthornstall::control
