--- a/src/hawthornstall/journal/layouts.hpp
+++ b/src/hawthornstall/journal/layouts.hpp
@@ -63,8 +63,8 @@
 template <> struct layout<journal::submission_state> {
     static constexpr auto members =
         std::tuple{&journal::submission_state::registration, &journal::submission_state::epoch,
-                   &journal::submission_state::released,     &journal::submission_state::tasks,
-                   &journal::submission_state::end,          &journal::submission_state::end_epoch};
+                   &journal::submission_state::tasks, &journal::submission_state::end,
+                   &journal::submission_state::end_epoch};
 };
 
 template <> struct layout<journal::submission_entry> {
--- a/src/hawthornstall/journal/owner_log.hpp
+++ b/src/hawthornstall/journal/owner_log.hpp
@@ -90,7 +90,7 @@
     [[nodiscard]] append_result append(const job_records& records, core::time_ms now);
 
     /// Appends nothing but a sequence number. Once it is committed, the state was the latest one at
-    /// some time after this call; a refusal that says "not run" has to wait for it.
+    /// some time after this call.
     [[nodiscard]] append_result confirm_ownership(core::time_ms now);
 
     /// Drops submissions issued before `time`; replicas follow with the next append or probe.
--- a/src/hawthornstall/journal/records.hpp
+++ b/src/hawthornstall/journal/records.hpp
@@ -77,12 +77,13 @@
     bool operator==(const task_end&) const = default;
 };
 
-/// The end of a submission. `refused_not_run` releases the submission: it may be submitted again.
+/// The end of a submission. A refusal is recorded like an answer: if it were not, a copy of the
+/// submission that is still under way could run after the caller was told that it has not run.
 struct job_end {
     core::outcome_class outcome = core::outcome_class::may_have_run;
-    std::string reason;
-    std::vector<std::string> results; ///< One per task when answered and kept.
-    bool answer_kept = true;          ///< False when the answer exceeded the bound.
+    std::string reason{};
+    std::vector<std::string> results{}; ///< One per task when answered and kept.
+    bool answer_kept = true;            ///< False when the answer exceeded the bound.
 
     bool operator==(const job_end&) const = default;
 };
@@ -90,10 +91,10 @@
 /// All records of one submission that are appended together.
 struct job_records {
     submission_key submission;
-    std::optional<submission_registration> registration;
-    std::vector<task_start> starts;
-    std::vector<task_end> ends;
-    std::optional<job_end> end;
+    std::optional<submission_registration> registration{};
+    std::vector<task_start> starts{};
+    std::vector<task_end> ends{};
+    std::optional<job_end> end{};
 
     bool operator==(const job_records&) const = default;
 };
--- a/src/hawthornstall/journal/shard_state.cpp
+++ b/src/hawthornstall/journal/shard_state.cpp
@@ -38,11 +38,10 @@
 }
 
 void close(submission_state& state, const job_end& end, epoch_number epoch) {
-    if (end.outcome == core::outcome_class::refused_not_run) {
-        state.released = !has_start(state);
-        return;
-    }
     state.end = end;
+    if (end.outcome == core::outcome_class::refused_not_run && has_start(state)) {
+        state.end->outcome = core::outcome_class::may_have_run;
+    }
     state.end_epoch = epoch;
     // The end decides every later question about the tasks, so their records are dropped.
     state.tasks = {};
@@ -59,12 +58,17 @@
     if (other.epoch > into.epoch) {
         into.registration = other.registration;
         into.epoch = other.epoch;
-        into.released = other.released;
     }
     if (other.end && other.end_epoch > into.end_epoch) {
         into.end = other.end;
         into.end_epoch = other.end_epoch;
     }
+    if (into.end && into.end_epoch < into.epoch) {
+        // The later owner registered the submission without having seen this end, so the end was
+        // never committed; a refusal among such ends may be untrue by now.
+        into.end.reset();
+        into.end_epoch = 0;
+    }
     if (into.end) {
         into.tasks = {};
         return;
@@ -73,7 +77,6 @@
     for (std::size_t index = 0; index < other.tasks.size(); ++index) {
         into.tasks[index] = merge_tasks(into.tasks[index], other.tasks[index]);
     }
-    into.released = into.released && !has_start(into);
 }
 
 } // namespace detail
@@ -96,7 +99,6 @@
     }
     if (records.registration) {
         state.epoch = epoch;
-        state.released = false;
     }
     for (const auto& start : records.starts) {
         detail::apply_start(state, start, epoch);
--- a/src/hawthornstall/journal/shard_state.hpp
+++ b/src/hawthornstall/journal/shard_state.hpp
@@ -23,7 +23,6 @@
 struct submission_state {
     submission_registration registration;
     epoch_number epoch = 0;        ///< Of the latest registration.
-    bool released = false;         ///< Refused before anything started.
     std::vector<task_state> tasks; ///< Up to the last started one; empty once the job ended.
     std::optional<job_end> end;
     epoch_number end_epoch = 0;
--- a/src/hawthornstall/journal/submission_table.cpp
+++ b/src/hawthornstall/journal/submission_table.cpp
@@ -14,10 +14,12 @@
 
 constexpr std::array verdict_entries{
     verdict_entry{submission_verdict::fresh, "fresh", core::outcome_class::refused_not_run},
+    verdict_entry{submission_verdict::retryable, "retryable", core::outcome_class::failed},
     verdict_entry{submission_verdict::in_progress, "in_progress",
                   core::outcome_class::may_have_run},
     verdict_entry{submission_verdict::answered, "answered", core::outcome_class::answered},
     verdict_entry{submission_verdict::failed, "failed", core::outcome_class::failed},
+    verdict_entry{submission_verdict::refused, "refused", core::outcome_class::refused_not_run},
     verdict_entry{submission_verdict::may_have_run, "may_have_run",
                   core::outcome_class::may_have_run},
     verdict_entry{submission_verdict::too_old, "too_old", core::outcome_class::may_have_run},
@@ -27,8 +29,7 @@
                   core::outcome_class::may_have_run},
     verdict_entry{submission_verdict::different_content, "different_content",
                   core::outcome_class::refused_not_run},
-    verdict_entry{submission_verdict::table_full, "table_full",
-                  core::outcome_class::refused_not_run},
+    verdict_entry{submission_verdict::table_full, "table_full", core::outcome_class::may_have_run},
 };
 
 const verdict_entry* find_entry(submission_verdict verdict) {
@@ -38,7 +39,8 @@
 /// Verdict on the tasks that an earlier owner started. Their results are not recorded, so a job
 /// with a started task can't be completed unless every attempt failed and may be repeated.
 submission_verdict judge_inherited(std::span<const task_state> tasks) {
-    auto verdict = submission_verdict::fresh;
+    bool has_started = false;
+    bool may_repeat = true;
     for (const auto& task : tasks) {
         if (task.attempt == 0) {
             continue;
@@ -46,11 +48,13 @@
         if (task.end_epoch == 0 || task.outcome != core::outcome_class::failed) {
             return submission_verdict::may_have_run;
         }
-        if (!task.retry_allowed) {
-            verdict = submission_verdict::failed;
-        }
+        has_started = true;
+        may_repeat = may_repeat && task.retry_allowed;
     }
-    return verdict;
+    if (!has_started) {
+        return submission_verdict::fresh;
+    }
+    return may_repeat ? submission_verdict::retryable : submission_verdict::failed;
 }
 
 } // namespace detail
@@ -104,9 +108,12 @@
         if (state.end->outcome == core::outcome_class::failed) {
             return {submission_verdict::failed, &*state.end};
         }
+        if (state.end->outcome == core::outcome_class::refused_not_run) {
+            return {submission_verdict::refused, &*state.end};
+        }
         return {submission_verdict::may_have_run, &*state.end};
     }
-    if (state.epoch == log_->epoch() && !state.released) {
+    if (state.epoch == log_->epoch()) {
         return {submission_verdict::in_progress};
     }
     return {detail::judge_inherited(state.tasks)};
@@ -115,8 +122,8 @@
 std::optional<std::uint32_t> submission_table::next_attempt(const submission_key& submission,
                                                             std::uint32_t task) const {
     const auto* const state = log_->state().find(submission);
-    const bool is_running = state != nullptr && !state->end && !state->released &&
-                            state->epoch == log_->epoch() && task < state->registration.task_count;
+    const bool is_running = state != nullptr && !state->end && state->epoch == log_->epoch() &&
+                            task < state->registration.task_count;
     if (!is_running) {
         return std::nullopt;
     }
--- a/src/hawthornstall/journal/submission_table.hpp
+++ b/src/hawthornstall/journal/submission_table.hpp
@@ -9,27 +9,31 @@
 
 namespace hawthornstall::journal {
 
-/// State of an identifier. Only `fresh` lets tasks of a submission enter the queue.
+/// State of an identifier. Only `fresh` and `retryable` let tasks of a submission enter the queue.
 enum class submission_verdict : std::uint8_t {
     fresh,             ///< Nothing of it has started; it may be registered and run.
+    retryable,         ///< All started attempts failed and may be repeated; like `fresh`, but not
+                       ///< to be refused as not run.
     in_progress,       ///< This owner runs it; its end is still to come.
     answered,          ///< The whole answer is present.
     failed,            ///< Ended in a definite failure.
+    refused,           ///< Was refused before anything started; it will not run.
     may_have_run,      ///< Something may have started; it is never started again.
     too_old,           ///< Older than the retention time; may have run.
     other_generation,  ///< Issued for another generation; may have run.
     issued_in_future,  ///< Beyond the allowed clock skew; may have run.
     different_content, ///< The identifier is bound to other content; this content has not run.
-    table_full,        ///< No room for another submission; this one has not run.
+    table_full,        ///< No room to record another submission, not even its refusal.
 };
 
 /// Name for logs and refusals, for example "too_old".
 [[nodiscard]] std::string_view to_string(submission_verdict verdict) noexcept;
 
-/// Outcome class that a caller is told; `in_progress` has none and waits for the end, `fresh` may
-/// be refused as not run. An owner that was superseded without noticing may see `fresh` where a
-/// newer owner has started the job, so `refused_not_run` may be told only once an append made after
-/// the lookup is committed (owner_log::confirm_ownership).
+/// Outcome class that a caller is told. `in_progress` has none and waits for the end. `fresh` is
+/// refused by appending a registration and an end, which are committed before the caller is told.
+/// `different_content` may be told only once an append made after the lookup is committed
+/// (owner_log::confirm_ownership), because an owner that was superseded without noticing may
+/// hold a registration that a newer owner has replaced.
 [[nodiscard]] core::outcome_class outcome_of(submission_verdict verdict) noexcept;
 
 /// Bounds of a table.
@@ -39,8 +43,8 @@
     std::size_t max_submissions = 1'000'000;  ///< New ones are refused beyond this number.
 };
 
-/// A verdict and, with `answered`, `failed` or a recorded `may_have_run`, the end of the job. The
-/// pointer is valid until the next change of the owner's log.
+/// A verdict and, with `answered`, `failed`, `refused` or a recorded `may_have_run`, the end of the
+/// job. The pointer is valid until the next change of the owner's log.
 struct submission_lookup {
     submission_verdict verdict = submission_verdict::may_have_run;
     const job_end* end = nullptr;
--- a/tests/hawthornstall/journal/layouts_test.cpp
+++ b/tests/hawthornstall/journal/layouts_test.cpp
@@ -21,7 +21,6 @@
     .submissions = {{{core::from_count(12), "order-1"},
                      {.registration = {{1, 2}, 1},
                       .epoch = 7,
-                      .released = true,
                       .tasks = {{2, 7, 8, core::outcome_class::failed, true}},
                       .end = job_end{core::outcome_class::failed, "reason", {}, false},
                       .end_epoch = 8}}}};
--- /dev/null
+++ b/tests/hawthornstall/journal/simulation.hpp
@@ -0,0 +1,521 @@
+#pragma once
+
+/// Three hosts that compete for one shard and three replicas, on a virtual clock.
+
+#include "hawthornstall/journal/replica.hpp"
+#include "hawthornstall/journal/submission_table.hpp"
+#include "history.hpp"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace hawthornstall::journal::testing {
+
+using core::duration_ms;
+using core::time_ms;
+
+constexpr std::size_t host_count = 3;
+constexpr std::size_t replica_count = 3;
+
+inline const std::array<std::string, replica_count> replica_names{"r0", "r1", "r2"};
+inline const std::array<std::string, host_count> host_names{"h0", "h1", "h2"};
+inline const shard_id simulated_shard{"paint", "bilbao"};
+
+/// Times are shorter than in production, so that a run of a few seconds crosses them often.
+inline const owner_settings simulated_owner_settings{
+    .resend_after = duration_ms{40},
+    .probe_interval = duration_ms{80},
+    .quorum_timeout = duration_ms{200},
+    .max_backlog = 8,
+};
+inline const table_settings simulated_table_settings{
+    .retention = duration_ms{1500},
+    .max_clock_skew = duration_ms{1000},
+    .max_submissions = 100,
+};
+
+/// Lossy behaviour of the network, in percent of messages.
+struct network_settings {
+    unsigned drop_percent = 0;
+    unsigned duplicate_percent = 0;
+    int max_delay_ms = 5; ///< Delays are drawn per message, so messages overtake each other.
+};
+
+/// What happened in a run, to see that the schedules reach the cases they are for.
+struct run_counts {
+    int starts = 0;
+    int retries = 0;
+    int answers = 0;
+    int repeated_answers = 0;
+    int refusals = 0;
+    int step_downs = 0;
+    int generations = 0;
+    std::map<submission_verdict, int> verdicts;
+};
+
+struct simulated_job {
+    std::string id;
+    std::string content;
+    std::vector<std::string> results;
+};
+
+/// One call of a caller: a submission or a resubmission.
+struct simulated_call {
+    core::submission_id id;
+    std::string content;
+    std::uint32_t task_count = 1;
+};
+
+struct simulated_host {
+    std::uint64_t incarnation = 1;
+    std::unique_ptr<owner_log> log;
+    bool is_chosen = false; ///< Believes that it should own the shard.
+    time_ms paused_until{};
+    time_ms down_until{};
+    duration_ms clock_skew{};
+    std::deque<std::function<void()>> inbox; ///< Inputs that wait while the host is paused.
+    std::multimap<std::uint64_t, std::function<void()>> on_commit;
+    std::map<submission_key, simulated_job> jobs;
+};
+
+/// `Replica` and `Table` are the production types or deliberately broken ones.
+template <class Replica, class Table> class simulation {
+public:
+    explicit simulation(std::uint64_t seed, network_settings network = {})
+        : random_(seed), network_(network) {
+        for (std::size_t index = 0; index < host_count; ++index) {
+            start_host(index);
+            tick(index);
+        }
+        for (std::size_t index = 0; index < replica_count; ++index) {
+            replicas_.at(index).incarnation = index * 1000;
+            restart_replica(index);
+        }
+    }
+
+    // Scheduled callbacks refer to the simulation.
+    simulation(const simulation&) = delete;
+    simulation& operator=(const simulation&) = delete;
+    simulation(simulation&&) = delete;
+    simulation& operator=(simulation&&) = delete;
+    ~simulation() = default;
+
+    void run_until(time_ms end) {
+        while (!schedule_.empty() && schedule_.begin()->first.first <= end) {
+            now_ = schedule_.begin()->first.first;
+            const auto action = std::move(schedule_.begin()->second);
+            schedule_.erase(schedule_.begin());
+            action();
+        }
+        now_ = end;
+    }
+
+    void run_for(duration_ms duration) { run_until(now_ + duration); }
+
+    void at(time_ms time, std::function<void()> action) {
+        schedule_.emplace(std::pair{std::max(time, now_), next_event_++}, std::move(action));
+    }
+
+    [[nodiscard]] unsigned draw(unsigned bound) {
+        return static_cast<unsigned>(random_() % std::max(bound, 1U));
+    }
+    [[nodiscard]] bool chance(unsigned percent) { return draw(100) < percent; }
+
+    // Faults.
+    void choose_owner(std::size_t index, bool others_agree = true) {
+        for (auto& host : hosts_) {
+            host.is_chosen = host.is_chosen && !others_agree;
+        }
+        hosts_.at(index).is_chosen = true;
+    }
+    void restart_host(std::size_t index, duration_ms down) {
+        auto& host = hosts_.at(index);
+        ++host.incarnation;
+        host.down_until = now_ + down;
+        host.paused_until = {};
+        start_host(index);
+    }
+    void pause_host(std::size_t index, duration_ms duration) {
+        hosts_.at(index).paused_until = now_ + duration;
+        at(now_ + duration, [this, index] { resume_host(index); });
+    }
+    void restart_replica(std::size_t index, duration_ms down = {}) {
+        auto& replica = replicas_.at(index);
+        ++replica.incarnation;
+        replica.machine = std::make_unique<Replica>(replica_names.at(index), replica.incarnation);
+        replica.down_until = now_ + down;
+    }
+    void cut(std::size_t host, std::size_t replica, duration_ms duration) {
+        cut_until_.at(host).at(replica) = now_ + duration;
+    }
+    void set_network(network_settings network) { network_ = network; }
+    void set_clock_skew(std::size_t host, duration_ms skew) { hosts_.at(host).clock_skew = skew; }
+
+    [[nodiscard]] bool is_recovered(std::size_t replica) const {
+        return replicas_.at(replica).machine->status(simulated_shard).generation != 0;
+    }
+    [[nodiscard]] std::optional<std::size_t> serving_host() const {
+        for (std::size_t index = 0; index < host_count; ++index) {
+            const auto& host = hosts_.at(index);
+            if (host.is_chosen && host.log->is_serving() && host.log->has_quorum()) {
+                return index;
+            }
+        }
+        return std::nullopt;
+    }
+    [[nodiscard]] const owner_log& log(std::size_t host) const { return *hosts_.at(host).log; }
+    [[nodiscard]] time_ms now() const { return now_; }
+    [[nodiscard]] const history& events() const { return events_; }
+    [[nodiscard]] const run_counts& counts() const { return counts_; }
+
+    /// Identifier as the host would issue it.
+    [[nodiscard]] core::submission_id issue(std::size_t host) {
+        return {.zone = simulated_shard.zone,
+                .generation = hosts_.at(host).log->generation(),
+                .issued = wall(hosts_.at(host)),
+                .key = std::to_string(++last_key_)};
+    }
+
+    /// A call reaches a host, which handles it as the owner or not at all.
+    void submit(std::size_t index, const simulated_call& call) {
+        to_host(index, hosts_.at(index).incarnation, [this, index, call] { take(index, call); });
+    }
+
+    /// Chance in percent that the owner refuses a new submission.
+    unsigned refusal_percent = 15;
+    /// Outcome of an attempt in percent: definite failure, and no reply. Otherwise an answer.
+    unsigned failure_percent = 15;
+    unsigned loss_percent = 5;
+    int max_run_time_ms = 100;
+
+private:
+    struct simulated_replica {
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<Replica> machine;
+        time_ms down_until{};
+    };
+
+    [[nodiscard]] time_ms wall(const simulated_host& host) const {
+        constexpr duration_ms epoch_offset{1'000'000};
+        return now_ + epoch_offset + host.clock_skew;
+    }
+
+    void start_host(std::size_t index) {
+        auto& host = hosts_.at(index);
+        host.log = std::make_unique<owner_log>(
+            simulated_shard, owner_identity{host_names.at(index), host.incarnation}, replica_names,
+            simulated_owner_settings);
+        host.inbox.clear();
+        host.on_commit.clear();
+        host.jobs.clear();
+    }
+
+    void resume_host(std::size_t index) {
+        auto& host = hosts_.at(index);
+        while (!host.inbox.empty() && host.paused_until <= now_) {
+            const auto input = std::move(host.inbox.front());
+            host.inbox.pop_front();
+            input();
+        }
+    }
+
+    void to_host(std::size_t index, std::uint64_t incarnation, std::function<void()> input) {
+        auto& host = hosts_.at(index);
+        if (host.incarnation != incarnation || host.down_until > now_) {
+            return;
+        }
+        if (host.paused_until > now_) {
+            host.inbox.push_back(std::move(input));
+        } else {
+            input();
+        }
+    }
+
+    void tick(std::size_t index) {
+        at(now_ + simulated_owner_settings.resend_after, [this, index] { tick(index); });
+        auto& host = hosts_.at(index);
+        if (host.paused_until > now_ || host.down_until > now_) {
+            return;
+        }
+        if (host.is_chosen && host.log->phase() == owner_phase::idle) {
+            perform(index, host.log->take_ownership(now_));
+        }
+        host.log->forget_before(
+            Table{*host.log, simulated_table_settings}.expiry_bound(wall(host)));
+        perform(index, host.log->tick(now_, wall(host)));
+    }
+
+    void perform(std::size_t index, owner_effects effects) {
+        for (auto& effect : effects) {
+            std::visit([this, index](auto& body) { apply(index, body); }, effect);
+        }
+    }
+
+    void apply(std::size_t index, send_to_replica& effect) {
+        const auto target = static_cast<std::size_t>(effect.replica.back() - '0');
+        const auto copies = chance(network_.duplicate_percent) ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            send(
+                index, target,
+                [this, index, target, incarnation = hosts_.at(index).incarnation,
+                 message = effect.message] { reach_replica(index, incarnation, target, message); });
+        }
+    }
+    void apply(std::size_t index, const appends_committed& effect) {
+        auto& waiting = hosts_.at(index).on_commit;
+        std::vector<std::function<void()>> actions;
+        while (!waiting.empty() && waiting.begin()->first <= effect.sequence) {
+            actions.push_back(std::move(waiting.begin()->second));
+            waiting.erase(waiting.begin());
+        }
+        for (const auto& action : actions) {
+            action();
+        }
+    }
+    void apply(std::size_t /*index*/, const serving_started& effect) {
+        counts_.generations += effect.generation > last_generation_ ? 1 : 0;
+        last_generation_ = std::max(last_generation_, effect.generation);
+    }
+    void apply(std::size_t index, const stepped_down& /*effect*/) {
+        ++counts_.step_downs;
+        hosts_.at(index).on_commit.clear();
+        hosts_.at(index).jobs.clear();
+    }
+    void apply(std::size_t /*index*/, const quorum_changed& /*effect*/) {}
+
+    void send(std::size_t host, std::size_t replica, std::function<void()> delivery) {
+        if (chance(network_.drop_percent) || cut_until_.at(host).at(replica) > now_) {
+            return;
+        }
+        const auto delay = 1 + draw(static_cast<unsigned>(network_.max_delay_ms));
+        at(now_ + duration_ms{delay}, std::move(delivery));
+    }
+
+    void reach_replica(std::size_t host, std::uint64_t incarnation, std::size_t target,
+                       const owner_message& message) {
+        auto& replica = replicas_.at(target);
+        if (replica.down_until > now_) {
+            return;
+        }
+        const auto reply = replica.machine->handle(message);
+        send(host, target, [this, host, incarnation, reply] {
+            to_host(host, incarnation, [this, host, reply] {
+                auto& receiver = hosts_.at(host);
+                perform(host, receiver.log->handle(reply, now_, wall(receiver)));
+            });
+        });
+    }
+
+    void append(std::size_t index, const job_records& records, std::function<void()> on_commit) {
+        auto result = hosts_.at(index).log->append(records, now_);
+        if (result.sequence != 0) {
+            hosts_.at(index).on_commit.emplace(result.sequence, std::move(on_commit));
+        }
+        perform(index, std::move(result.effects));
+    }
+
+    void take(std::size_t index, const simulated_call& call) {
+        auto& host = hosts_.at(index);
+        if (!host.log->is_serving()) {
+            return;
+        }
+        const Table table{*host.log, simulated_table_settings};
+        const auto found = table.find(call.id, digest(call.content), wall(host));
+        ++counts_.verdicts[found.verdict];
+        const auto id = core::to_string(call.id);
+        switch (found.verdict) {
+        case submission_verdict::fresh:
+            accept(index, call, chance(refusal_percent));
+            break;
+        case submission_verdict::retryable:
+            accept(index, call, false);
+            break;
+        case submission_verdict::answered:
+            ++counts_.repeated_answers;
+            record({.kind = event_kind::answer, .id = id, .answer = join(found.end->results)});
+            break;
+        case submission_verdict::refused:
+            refuse(call);
+            break;
+        case submission_verdict::different_content: {
+            auto result = host.log->confirm_ownership(now_);
+            host.on_commit.emplace(result.sequence, [this, call] { refuse(call); });
+            perform(index, std::move(result.effects));
+            break;
+        }
+        default:
+            break;
+        }
+    }
+
+    void accept(std::size_t index, const simulated_call& call, bool is_refused) {
+        job_records records{.submission = key_of(call.id),
+                            .registration =
+                                submission_registration{digest(call.content), call.task_count}};
+        if (is_refused) {
+            records.end = job_end{.outcome = core::outcome_class::refused_not_run};
+            append(index, records, [this, call] { refuse(call); });
+            return;
+        }
+        const auto id = core::to_string(call.id);
+        hosts_.at(index).jobs[records.submission] = {id, call.content,
+                                                     std::vector<std::string>(call.task_count)};
+        // Some tasks start with the registration, as when slots are free; the others later.
+        const auto first_starts = draw(call.task_count + 1);
+        append(index, records, [] {});
+        job_records starts{.submission = records.submission};
+        for (std::uint32_t task = 0; task < call.task_count; ++task) {
+            if (task < first_starts) {
+                if (const auto attempt = next_attempt(index, records.submission, task)) {
+                    starts.starts.push_back({task, *attempt});
+                }
+            } else {
+                at(now_ + duration_ms{draw(50)}, local(index, [this, index, records, task] {
+                       start(index, records.submission, task);
+                   }));
+            }
+        }
+        if (!starts.starts.empty()) {
+            append(index, starts, [this, index, starts] {
+                for (const auto& item : starts.starts) {
+                    run(index, starts.submission, item);
+                }
+            });
+        }
+    }
+
+    [[nodiscard]] std::optional<std::uint32_t>
+    next_attempt(std::size_t index, const submission_key& submission, std::uint32_t task) const {
+        const Table table{*hosts_.at(index).log, simulated_table_settings};
+        return table.next_attempt(submission, task);
+    }
+
+    /// Input of a host that is lost with its process.
+    std::function<void()> local(std::size_t index, std::function<void()> input) {
+        return [this, index, incarnation = hosts_.at(index).incarnation, input = std::move(input)] {
+            to_host(index, incarnation, input);
+        };
+    }
+
+    void start(std::size_t index, const submission_key& submission, std::uint32_t task) {
+        const auto attempt = next_attempt(index, submission, task);
+        if (!attempt || !hosts_.at(index).jobs.contains(submission)) {
+            return;
+        }
+        const task_start item{task, *attempt};
+        append(index, {.submission = submission, .starts = {item}},
+               [this, index, submission, item] { run(index, submission, item); });
+    }
+
+    void run(std::size_t index, const submission_key& submission, const task_start& item) {
+        const auto found = hosts_.at(index).jobs.find(submission);
+        if (found == hosts_.at(index).jobs.end()) {
+            return;
+        }
+        const auto [id, content, results] = found->second;
+        ++counts_.starts;
+        counts_.retries += item.attempt > 1 ? 1 : 0;
+        record({.kind = event_kind::start,
+                .id = id,
+                .content = content,
+                .task = item.task,
+                .attempt = item.attempt});
+        const auto luck = draw(100);
+        const auto finish = now_ + duration_ms{1 + draw(static_cast<unsigned>(max_run_time_ms))};
+        const bool has_failed = luck < failure_percent;
+        if (!has_failed && luck < failure_percent + loss_percent) {
+            return;
+        }
+        const auto result = std::to_string(++last_run_);
+        const auto reply = local(index, [this, index, submission, item, has_failed, result] {
+            finish_task(index, submission, item, has_failed, result);
+        });
+        at(finish, [this, id = id, item, has_failed, reply] {
+            if (has_failed) {
+                record({.kind = event_kind::failure,
+                        .id = id,
+                        .task = item.task,
+                        .attempt = item.attempt});
+            }
+            reply();
+        });
+    }
+
+    void finish_task(std::size_t index, const submission_key& submission, const task_start& item,
+                     bool has_failed, const std::string& result) {
+        const auto found = hosts_.at(index).jobs.find(submission);
+        if (found == hosts_.at(index).jobs.end()) {
+            return;
+        }
+        auto& job = found->second;
+        const bool may_retry = has_failed && chance(70);
+        job_records records{.submission = submission};
+        records.ends.push_back(
+            {item.task, item.attempt,
+             has_failed ? core::outcome_class::failed : core::outcome_class::answered, may_retry});
+        if (has_failed && !may_retry) {
+            records.end = job_end{.outcome = core::outcome_class::failed};
+        }
+        if (!has_failed) {
+            job.results.at(item.task) = result;
+            if (std::ranges::none_of(job.results, &std::string::empty)) {
+                records.end = job_end{core::outcome_class::answered, "", job.results, true};
+            }
+        }
+        if (may_retry) {
+            record({.kind = event_kind::retry,
+                    .id = job.id,
+                    .task = item.task,
+                    .attempt = item.attempt});
+        }
+        append(index, records, [this, id = job.id, end = records.end] {
+            if (end && end->outcome == core::outcome_class::answered) {
+                ++counts_.answers;
+                record({.kind = event_kind::answer, .id = id, .answer = join(end->results)});
+            }
+        });
+        if (may_retry) {
+            start(index, submission, item.task);
+        }
+    }
+
+    void refuse(const simulated_call& call) {
+        ++counts_.refusals;
+        record(
+            {.kind = event_kind::refusal, .id = core::to_string(call.id), .content = call.content});
+    }
+
+    void record(event item) { events_.push_back(std::move(item)); }
+
+    [[nodiscard]] static content_digest digest(const std::string& content) {
+        return {.low = std::hash<std::string>{}(content), .high = 1};
+    }
+    [[nodiscard]] static std::string join(std::span<const std::string> results) {
+        std::string text;
+        for (const auto& result : results) {
+            text += result + ",";
+        }
+        return text;
+    }
+
+    std::mt19937_64 random_;
+    network_settings network_;
+    time_ms now_{};
+    std::uint64_t next_event_ = 0;
+    std::map<std::pair<time_ms, std::uint64_t>, std::function<void()>> schedule_;
+    std::array<simulated_host, host_count> hosts_;
+    std::array<simulated_replica, replica_count> replicas_;
+    std::array<std::array<time_ms, replica_count>, host_count> cut_until_{};
+    history events_;
+    run_counts counts_;
+    generation_number last_generation_ = 0;
+    int last_key_ = 0;
+    int last_run_ = 0;
+};
+
+} // namespace hawthornstall::journal::testing
