Run the dispatchers of a zone under single and paired faults on a virtual clock

A harness drives three dispatchers over a fake link with 1 ms delay and fake targets, and a checker walks the history: one answer per call, whole or empty, no task of a submission started twice, 'not run' only when nothing started. Seven faults alone and in all 49 ordered pairs, 10 ms and 2.2 s apart.

--- a/src/hawthornstall/entry/dispatcher.cpp
+++ b/src/hawthornstall/entry/dispatcher.cpp
@@ -57,6 +57,15 @@
            });
 }
 
+bool dispatcher::owns(std::string_view service) const {
+    const auto found = shards_.find(service);
+    return found != shards_.end() && found->second->is_serving();
+}
+
+std::uint64_t dispatcher::generation_of(std::string_view service) const {
+    return owns(service) ? shards_.find(service)->second->log().generation() : 0;
+}
+
 void dispatcher::take(const task_report& report, times at) {
     if (auto* const owner = find_shard(report.service)) {
         carry_out(*owner, owner->task_ended(report.run, report.result, report.body, at), at);
--- a/src/hawthornstall/entry/dispatcher.hpp
+++ b/src/hawthornstall/entry/dispatcher.hpp
@@ -45,6 +45,12 @@
     /// Whether a requested shutdown can end the process without cutting off a request.
     [[nodiscard]] bool is_drained() const;
 
+    /// Whether this host serves the service in its zone.
+    [[nodiscard]] bool owns(std::string_view service) const;
+
+    /// Journal generation of a service that this host serves; 0 otherwise.
+    [[nodiscard]] std::uint64_t generation_of(std::string_view service) const;
+
 private:
     struct known_target {
         core::target_announcement last_news;
--- /dev/null
+++ b/tests/hawthornstall/entry/dispatcher_test.cpp
@@ -0,0 +1,251 @@
+#include "hawthornstall/entry/zone_harness.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <string>
+#include <string_view>
+
+namespace hawthornstall::entry {
+namespace {
+
+using core::outcome_class;
+using testing::zone_harness;
+
+core::service_document make_document() {
+    core::service_document document;
+    document.service = "restock";
+    document.team = "restock-team";
+    document.version = 1;
+    document.task.expected_run_time = zone_harness::run_time;
+    return document;
+}
+
+core::job_request make_job(std::size_t task_count, bool idempotent, std::string_view name) {
+    core::job_request job;
+    job.service = "restock";
+    job.caller = "van-7";
+    job.idempotent = idempotent;
+    job.deadline = core::duration_ms{5000};
+    for (std::size_t task = 0; task < task_count; ++task) {
+        job.tasks.push_back({std::string{name} + '-' + std::to_string(task), {}});
+    }
+    return job;
+}
+
+/// Three hosts and four targets of four slots, once ownership is settled.
+zone_harness make_zone() {
+    zone_harness zone{3, make_document()};
+    for (const auto* const name : {"t1", "t2", "t3", "t4"}) {
+        zone.add_target(name, 4);
+    }
+    zone.run_for(core::duration_ms{4000});
+    return zone;
+}
+
+std::string other_host(const std::string& host) {
+    return host == "h1" ? "h2" : "h1";
+}
+
+// Guards against a path on which no caller gets its answer, and against an owner that is not
+// agreed.
+TEST_CASE("jobs are answered whole through every host") {
+    auto zone = make_zone();
+    REQUIRE_FALSE(zone.owner("h1").empty());
+    for (const auto* const host : {"h1", "h2", "h3"}) {
+        zone.call(host, make_job(20, false, host));
+        zone.call(host, make_job(1, true, host));
+    }
+    zone.run_for(core::duration_ms{3000});
+    for (const auto& call : zone.calls()) {
+        REQUIRE(call.answers.size() == 1);
+        CHECK(call.answers.front().outcome == outcome_class::answered);
+    }
+    CHECK(testing::violations(zone.starts(), zone.calls()).empty());
+}
+
+// Guards against a resubmission that starts tasks again or gets another answer.
+TEST_CASE("a resubmission through any host gets the first answer and starts nothing") {
+    for (const core::duration_ms wait :
+         {core::duration_ms{0}, core::duration_ms{50}, core::duration_ms{2000}}) {
+        CAPTURE(wait.count());
+        auto zone = make_zone();
+        auto job = make_job(30, false, "job");
+        job.id = zone.make_id("h1", "order-1");
+        zone.call("h1", job);
+        zone.run_for(wait);
+        zone.call("h2", job);
+        zone.call("h3", job);
+        zone.run_for(core::duration_ms{3000});
+        CHECK(zone.starts().size() == 30);
+        for (const auto& call : zone.calls()) {
+            REQUIRE(call.answers.size() == 1);
+            CHECK(call.answers.front().outcome == outcome_class::answered);
+        }
+        CHECK(testing::violations(zone.starts(), zone.calls()).empty());
+    }
+}
+
+/// What happens to the zone while a job runs.
+struct fault_case {
+    std::string_view name;
+    void (*cause)(zone_harness&, const std::string& owner);
+    void (*heal)(zone_harness&, const std::string& owner);
+};
+
+constexpr auto nothing = [](zone_harness& /*zone*/, const std::string& /*owner*/) {
+};
+
+const std::array fault_cases{
+    fault_case{"owner killed", [](auto& zone, const auto& owner) { zone.kill(owner); },
+               [](auto& zone, const auto& owner) {
+                   zone.restart(owner);
+               }},
+    fault_case{"owner paused", [](auto& zone, const auto& owner) { zone.pause(owner); },
+               [](auto& zone, const auto& owner) {
+                   zone.resume(owner);
+               }},
+    fault_case{"owner cut off", [](auto& zone, const auto& owner) { zone.cut(owner, true); },
+               [](auto& zone, const auto& owner) {
+                   zone.cut(owner, false);
+               }},
+    fault_case{"other host killed",
+               [](auto& zone, const auto& owner) { zone.kill(owner == "h3" ? "h2" : "h3"); },
+               [](auto& zone, const auto& owner) {
+                   zone.restart(owner == "h3" ? "h2" : "h3");
+               }},
+    fault_case{
+        "target killed",
+        [](auto& zone, const auto& /*owner*/) { zone.set_mood("t1", testing::target_mood::dead); },
+        nothing},
+    fault_case{"target fails every task",
+               [](auto& zone, const auto& /*owner*/) {
+                   zone.set_mood("t2", testing::target_mood::failing);
+               },
+               [](auto& zone, const auto& /*owner*/) {
+                   zone.set_mood("t2", testing::target_mood::normal);
+               }},
+    fault_case{"owner shut down", [](auto& zone, const auto& owner) { zone.shut_down(owner); },
+               nothing},
+};
+
+/// Runs jobs through a host that survives both faults, with a resubmission after each.
+void check_faults(const fault_case& first, const fault_case& second, core::duration_ms gap) {
+    auto zone = make_zone();
+    const auto owner = zone.owner("h1");
+    const auto entry = other_host(owner);
+    auto job = make_job(60, false, "submission");
+    job.id = zone.make_id(entry, "order-1");
+    zone.call(entry, job);
+    for (int number = 0; number < 10; ++number) {
+        zone.call(entry, make_job(1, true, "read" + std::to_string(number)));
+    }
+    zone.run_for(core::duration_ms{120});
+    first.cause(zone, owner);
+    zone.run_for(gap);
+    second.cause(zone, owner);
+    zone.run_for(core::duration_ms{3000});
+    zone.call(entry, job);
+    zone.run_for(core::duration_ms{4000});
+    second.heal(zone, owner);
+    first.heal(zone, owner);
+    zone.run_for(core::duration_ms{4000});
+    zone.call(entry, job);
+    zone.call(entry, make_job(5, false, "afterwards"));
+    zone.run_for(core::duration_ms{8000});
+    const auto found = testing::violations(zone.starts(), zone.calls());
+    for (const auto& violation : found) {
+        MESSAGE(violation);
+    }
+    CHECK(found.empty());
+    CHECK(zone.calls().back().answers.front().outcome == outcome_class::answered);
+}
+
+// Guards against lost, doubled, partial or dishonest answers after any one fault.
+TEST_CASE("each call gets one honest answer after a fault") {
+    for (const auto& fault : fault_cases) {
+        CAPTURE(fault.name);
+        check_faults(fault, {"nothing", nothing, nothing}, core::duration_ms{10});
+    }
+}
+
+// Guards against faults that are handled alone but not together.
+TEST_CASE("each call gets one honest answer after two faults") {
+    for (const auto& first : fault_cases) {
+        for (const auto& second : fault_cases) {
+            for (const core::duration_ms gap : {core::duration_ms{10}, core::duration_ms{2200}}) {
+                CAPTURE(first.name);
+                CAPTURE(second.name);
+                CAPTURE(gap.count());
+                check_faults(first, second, gap);
+            }
+        }
+    }
+}
+
+// Guards against work on a target that said it is leaving, or that is silent beyond its lease.
+TEST_CASE("a leaving or silent target gets no new work") {
+    struct leave_case {
+        std::string_view name;
+        void (*leave)(zone_harness&);
+        core::duration_ms bound;
+    };
+    const std::array cases{
+        leave_case{"leaving", [](auto& zone) { zone.leave("t1"); }, core::duration_ms{10}},
+        leave_case{"silent", [](auto& zone) { zone.set_mood("t1", testing::target_mood::dead); },
+                   core::duration_ms{3000}},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        auto zone = make_zone();
+        test.leave(zone);
+        const auto left = zone.now();
+        zone.run_for(test.bound);
+        for (int number = 0; number < 20; ++number) {
+            zone.call("h1", make_job(10, true, "job" + std::to_string(number)));
+        }
+        zone.run_for(core::duration_ms{5000});
+        for (const auto& start : zone.starts()) {
+            CHECK((start.target != "t1" || start.at < left + test.bound));
+        }
+        CHECK(testing::violations(zone.starts(), zone.calls()).empty());
+    }
+}
+
+// Guards against checkers that accept every history.
+TEST_CASE("the checker finds each kind of violation") {
+    auto job = make_job(2, false, "job");
+    job.id = core::submission_id{"zone-a", 1, core::from_count(1), "k"};
+    const core::job_answer whole{
+        job.id, outcome_class::answered, "", {}, {"echo of job-0", "echo of job-1"}};
+    auto partial = whole;
+    partial.results.pop_back();
+    auto crossed = whole;
+    std::swap(crossed.results[0], crossed.results[1]);
+    const core::job_answer refused{job.id, outcome_class::refused_not_run, "", {}, {}};
+    const testing::observed_start start{"zone-a.1.1.k/0", 1, "t1", {}};
+    struct checker_case {
+        std::string_view name;
+        std::vector<testing::observed_start> starts;
+        std::vector<core::job_answer> answers;
+        bool is_violation;
+    };
+    const std::array cases{
+        checker_case{"whole", {start}, {whole}, false},
+        checker_case{"missing", {}, {}, true},
+        checker_case{"doubled answer", {start}, {whole, whole}, true},
+        checker_case{"partial", {start}, {partial}, true},
+        checker_case{"crossed", {start}, {crossed}, true},
+        checker_case{"started twice", {start, start}, {whole}, true},
+        checker_case{"refused after a start", {start}, {refused}, true},
+        checker_case{"refused truly", {}, {refused}, false},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        const std::array calls{testing::observed_call{job, test.answers, {}, {}}};
+        CHECK(testing::violations(test.starts, calls).empty() != test.is_violation);
+    }
+}
+
+} // namespace
+} // namespace hawthornstall::entry
--- /dev/null
+++ b/tests/hawthornstall/entry/zone_harness.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+/// Several dispatchers, fake targets and callers on a virtual clock, with faults on demand. A small
+/// fake at the dispatcher's interfaces: links deliver in order after a fixed delay unless cut.
+
+#include "hawthornstall/entry/dispatcher.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::entry::testing {
+
+/// One start of a task at a target, as the target saw it.
+struct observed_start {
+    std::string task_id;
+    std::uint32_t attempt = 0;
+    std::string target;
+    core::time_ms at{};
+};
+
+/// A caller's call and its end.
+struct observed_call {
+    core::job_request job;
+    std::vector<core::job_answer> answers;
+    core::time_ms sent{};
+    core::time_ms answered{};
+};
+
+/// How a target treats its tasks.
+enum class target_mood : std::uint8_t { normal, failing, dead };
+
+class zone_harness {
+public:
+    static constexpr core::duration_ms link_delay{1};
+    static constexpr core::duration_ms run_time{100};
+
+    /// Hosts "h1".."hN" of one zone, with journal replicas on the first three.
+    explicit zone_harness(std::size_t host_count, core::service_document document);
+
+    void add_target(const std::string& name, std::uint32_t slots);
+    void set_mood(const std::string& target, target_mood mood) { targets_.at(target).mood = mood; }
+    void leave(const std::string& target);
+
+    /// Number of the call, for calls().
+    std::size_t call(std::string_view host, core::job_request job);
+
+    void run_for(core::duration_ms duration);
+
+    void kill(const std::string& host);
+    void restart(const std::string& host);
+    /// A paused host neither receives nor sends; what arrives meanwhile reaches it on resumption.
+    void pause(const std::string& host) { hosts_.at(host).paused = true; }
+    void resume(const std::string& host) { hosts_.at(host).paused = false; }
+    void shut_down(const std::string& host);
+    /// Drops everything between `host` and the others; both sides notice after the silence limit.
+    void cut(const std::string& host, bool is_cut);
+
+    /// Host that serves the service, as seen by `host`; empty when there is none.
+    [[nodiscard]] std::string owner(const std::string& host) const;
+
+    [[nodiscard]] const std::vector<observed_start>& starts() const { return starts_; }
+    [[nodiscard]] const std::vector<observed_call>& calls() const { return calls_; }
+    [[nodiscard]] core::time_ms now() const { return now_; }
+    [[nodiscard]] bool is_drained(const std::string& host) const {
+        return hosts_.at(host).logic->is_drained();
+    }
+
+    /// Identifier as the owner's generation asks for.
+    [[nodiscard]] core::submission_id make_id(const std::string& host, std::string_view key) const;
+
+private:
+    struct host_state {
+        std::unique_ptr<dispatcher> logic;
+        std::uint64_t life = 0; ///< Events of an earlier life are dropped.
+        bool alive = true;
+        bool paused = false;
+        bool cut = false;
+    };
+    struct target_state {
+        core::target_announcement news;
+        target_mood mood = target_mood::normal;
+    };
+    struct event {
+        std::string host;
+        std::uint64_t life = 0;
+        std::function<dispatcher_message()> make;
+    };
+
+    void start_host(const std::string& name);
+    void announce_all();
+    void update_reachability();
+    void deliver_due();
+    void tick_due();
+    void schedule(core::time_ms at, const std::string& host,
+                  std::function<dispatcher_message()> make);
+    void carry_out(const std::string& host, dispatcher_effects effects);
+    void send(const std::string& from, const outgoing_message& out);
+    void run_task_at(const std::string& host, const start_order& order);
+    [[nodiscard]] bool linked(const std::string& left, const std::string& right) const;
+    [[nodiscard]] shard::times times() const;
+
+    core::service_document document_;
+    std::vector<std::string> names_;
+    std::map<std::string, host_state> hosts_;
+    std::map<std::string, target_state> targets_;
+    std::map<std::pair<std::string, std::string>, bool> reachable_;
+    std::map<std::pair<std::string, std::string>, core::time_ms> link_broken_;
+    std::multimap<core::time_ms, event> events_;
+    std::vector<observed_start> starts_;
+    std::vector<observed_call> calls_;
+    core::time_ms now_{core::duration_ms{1'000'000}};
+    core::time_ms next_announcement_{};
+};
+
+/// Violations of the invariants over a finished history: a task of a submission that started twice,
+/// a call with no answer or several, an answer that is neither whole nor empty, a refusal "not run"
+/// of a submission of which a task started, results of another call.
+[[nodiscard]] std::vector<std::string> violations(std::span<const observed_start> starts,
+                                                  std::span<const observed_call> calls);
+
+} // namespace hawthornstall::entry::testing
