Add the file storage of the configuration log

Control hosts keep their part of the log on disk. A record carries a check of its length, a hash of its payload and a trailer. The separate check of the length is needed because a flipped bit in the length of a record in the middle would otherwise look like a record that was cut off, and everything after it would be dropped without notice.

A tail that was not written completely is cut off. Everything else that deviates is damage: the folder is kept aside and the host starts again as a new member. Ruled out: cutting off at the first bad record wherever it is, since this drops acknowledged entries; and a second sync per append for a durable length, since it doubles the cost. What remains undetected is a file system that loses synced records at a record boundary; the header states it.

--- /dev/null
+++ b/src/hawthornstall/control/file_storage.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+/// Storage of one member in a folder of its own.
+
+#include "hawthornstall/control/data_files.hpp"
+#include "hawthornstall/control/log_storage.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace hawthornstall::control {
+
+/// Files: `state` (identity, term and vote), `snapshot` (latest one) and `log` (entries after it).
+///
+/// A tail of the log that was not written completely is cut off: it was never acknowledged. Any
+/// other deviation is damage. A synced tail that the file system itself loses at a record boundary
+/// cannot be told from entries that were never written.
+class file_storage {
+public:
+    /// Opens `folder`, which must exist. A folder without files becomes that of a new member
+    /// {host, new_disk}; `new_disk` must be random and not 0. Errors: kDataLoss for a damaged
+    /// folder, kFailedPrecondition for the folder of another host or of another process,
+    /// kUnavailable when an operation of the file system fails.
+    [[nodiscard]] static absl::StatusOr<file_storage>
+    open(const std::string& folder, std::string_view host, std::uint64_t new_disk);
+
+    [[nodiscard]] const hard_state& state() const { return state_; }
+    [[nodiscard]] const memory_log& log() const { return log_; }
+    [[nodiscard]] absl::StatusOr<log_snapshot> load_snapshot() const;
+    [[nodiscard]] absl::Status save_state(const hard_state& state);
+    [[nodiscard]] absl::Status append(std::span<const log_entry> entries);
+    [[nodiscard]] absl::Status sync() { return sync_file(log_file_); }
+    [[nodiscard]] absl::Status install(const log_snapshot& snapshot);
+
+private:
+    explicit file_storage(std::string folder) : folder_(std::move(folder)) {}
+
+    [[nodiscard]] absl::Status load(std::string_view host, std::uint64_t new_disk);
+    [[nodiscard]] absl::Status create(std::string_view host, std::uint64_t new_disk);
+    [[nodiscard]] absl::Status load_state(std::string_view bytes, std::string_view host);
+    [[nodiscard]] absl::Status load_log(std::string_view bytes);
+    [[nodiscard]] absl::Status open_log();
+    [[nodiscard]] absl::Status rewrite_log();
+    [[nodiscard]] absl::Status damaged(std::string_view problem) const;
+    [[nodiscard]] std::string encode_entries(std::span<const log_entry> entries);
+
+    std::string folder_;
+    file_descriptor lock_;
+    file_descriptor log_file_;
+    hard_state state_;
+    memory_log log_;
+    std::deque<std::uint64_t> offsets_; ///< In the log file, one per entry of `log_`.
+    std::uint64_t log_bytes_ = 0;
+};
+
+static_assert(log_storage<file_storage>);
+
+/// Result of open_or_replace.
+struct opened_storage {
+    file_storage storage;
+    std::string damaged_folder; ///< Where the damaged folder was moved; empty when it was not.
+};
+
+/// Opens `parent`/config as file_storage::open does, creating it when it is missing. A damaged
+/// folder is moved to `parent`/config.damaged-`wall_now` and replaced by that of a new member, so
+/// that this host rejoins as a learner and never votes on what it has forgotten.
+[[nodiscard]] absl::StatusOr<opened_storage> open_or_replace(const std::string& parent,
+                                                             std::string_view host,
+                                                             std::uint64_t new_disk,
+                                                             core::time_ms wall_now);
+
+} // namespace hawthornstall::control
--- /dev/null
+++ b/src/hawthornstall/control/record_format.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+/// Checksummed records, by which a torn tail can be told from damage.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::control {
+
+/// Appends one record with `payload` (below 4 GiB) to `bytes`.
+///
+/// Layout, little-endian, padded to a multiple of 8 bytes: payload length (4 bytes), check of the
+/// length (4), xxh3 of the payload (8), payload, padding, trailer (8). The length has a check of
+/// its own, so that a damaged length is not taken for a record that was cut off. The trailer is
+/// not zero and never crosses a sector, so that zeros at the end of a record that reach back to a
+/// sector boundary mean that the sector was not written.
+void append_record(std::string& bytes, std::string_view payload);
+
+/// How a sequence of records ends.
+enum class record_end : std::uint8_t {
+    whole,   ///< After the last record.
+    torn,    ///< The last record was not written completely; it was never synced.
+    damaged, ///< A record was altered after it was written.
+};
+
+/// One record that was read.
+struct read_record {
+    std::uint64_t offset = 0;
+    std::string_view payload; ///< View into the scanned bytes.
+};
+
+struct record_scan {
+    std::vector<read_record> records; ///< Up to the first one that is torn or damaged.
+    std::uint64_t valid_bytes = 0;    ///< End of the last of these records.
+    record_end end = record_end::whole;
+};
+
+[[nodiscard]] record_scan scan_records(std::string_view bytes);
+
+/// Payload of a file that holds exactly one whole record.
+[[nodiscard]] std::optional<std::string_view> single_record(std::string_view bytes);
+
+} // namespace hawthornstall::control
--- /dev/null
+++ b/tests/hawthornstall/control/file_storage_test.cpp
@@ -0,0 +1,262 @@
+#include "hawthornstall/control/consensus_node.hpp"
+#include "hawthornstall/control/file_storage.hpp"
+#include "hawthornstall/control/sample_edits.hpp"
+#include "hawthornstall/control/scratch_folder.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::control {
+namespace {
+
+constexpr std::uint64_t disk = 7;
+
+absl::StatusOr<file_storage> reopen(const std::string& folder) {
+    return file_storage::open(folder, "control-1", disk + 1);
+}
+
+std::vector<log_entry> make_entries(std::uint64_t first, std::uint64_t count, std::uint64_t term) {
+    std::vector<log_entry> entries;
+    for (auto index = first; index < first + count; ++index) {
+        entries.push_back({{term, index}, make_edit("edit-" + std::to_string(index), index)});
+    }
+    return entries;
+}
+
+void append_synced(file_storage& storage, const std::vector<log_entry>& entries) {
+    REQUIRE(storage.append(entries).ok());
+    REQUIRE(storage.sync().ok());
+}
+
+/// Folder with a snapshot at index 1 and synced entries 2 to 5.
+void fill(const std::string& folder) {
+    auto storage = file_storage::open(folder, "control-1", disk);
+    REQUIRE(storage.ok());
+    REQUIRE(create_cluster(*storage, 9).ok());
+    append_synced(*storage, make_entries(2, 4, 1));
+}
+
+struct written_case {
+    std::string_view name;
+    std::function<void(file_storage&)> write;
+    log_position base;
+    log_position last;
+};
+
+// Guards against entries, votes or snapshots that a restart loses or mixes up.
+TEST_CASE("a restart finds what was synced") {
+    const auto snapshot_at = [](std::uint64_t term, std::uint64_t index) {
+        log_snapshot snapshot;
+        snapshot.position = {term, index};
+        snapshot.state.revision = index;
+        return snapshot;
+    };
+    const std::array cases{
+        written_case{"nothing more", [](auto&) {}, {1, 1}, {1, 5}},
+        written_case{"hundreds of changes",
+                     [](auto& s) {
+                         for (std::uint64_t index = 6; index <= 505; ++index) {
+                             append_synced(s, make_entries(index, 1, 1));
+                         }
+                     },
+                     {1, 1},
+                     {1, 505}},
+        written_case{"a conflicting suffix",
+                     [](auto& s) { append_synced(s, make_entries(4, 1, 2)); },
+                     {1, 1},
+                     {2, 4}},
+        written_case{"compaction",
+                     [&](auto& s) { REQUIRE(s.install(snapshot_at(1, 3)).ok()); },
+                     {1, 3},
+                     {1, 5}},
+        written_case{"compaction, then more entries",
+                     [&](auto& s) {
+                         REQUIRE(s.install(snapshot_at(1, 3)).ok());
+                         append_synced(s, make_entries(6, 2, 1));
+                     },
+                     {1, 3},
+                     {1, 7}},
+        written_case{"a snapshot beyond the log",
+                     [&](auto& s) { REQUIRE(s.install(snapshot_at(2, 9)).ok()); },
+                     {2, 9},
+                     {2, 9}},
+        written_case{"a snapshot of another history",
+                     [&](auto& s) { REQUIRE(s.install(snapshot_at(2, 3)).ok()); },
+                     {2, 3},
+                     {2, 3}},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        const scratch_folder folder;
+        fill(folder.path());
+        std::vector<log_entry> entries;
+        {
+            auto storage = reopen(folder.path());
+            REQUIRE(storage.ok());
+            test.write(*storage);
+            const auto kept = storage->log().entries_from(test.base.index + 1);
+            entries.assign(kept.begin(), kept.end());
+            auto state = storage->state();
+            state.term = 12;
+            state.voted_for = member_id{"control-2", 3};
+            REQUIRE(storage->save_state(state).ok());
+        }
+        const auto storage = reopen(folder.path());
+        REQUIRE(storage.ok());
+        CHECK(storage->state().self == member_id{"control-1", disk});
+        CHECK(storage->state().term == 12);
+        CHECK(storage->state().voted_for == member_id{"control-2", 3});
+        CHECK(storage->log().base() == test.base);
+        CHECK(storage->log().last() == test.last);
+        CHECK(std::ranges::equal(storage->log().entries_from(test.base.index + 1), entries));
+        const auto snapshot = storage->load_snapshot();
+        REQUIRE(snapshot.ok());
+        CHECK(snapshot->position == test.base);
+    }
+}
+
+// Guards against a crash while a record is written that makes the log unreadable or unusable.
+TEST_CASE("a log cut off anywhere keeps its whole records") {
+    const scratch_folder folder;
+    fill(folder.path());
+    const auto log = folder.path() + "/log";
+    const auto whole = read_all(log);
+    const auto record_bytes = whole.size() / 4;
+    REQUIRE(whole.size() % 4 == 0);
+    for (std::size_t length = 0; length <= whole.size(); ++length) {
+        CAPTURE(length);
+        write_all(log, std::string_view{whole}.substr(0, length));
+        auto storage = reopen(folder.path());
+        REQUIRE(storage.ok());
+        const auto last = 1 + length / record_bytes;
+        CHECK(storage->log().last().index == last);
+        REQUIRE(storage->append(make_entries(last + 1, 1, 1)).ok());
+        storage = absl::UnknownError("closed");
+        CHECK(reopen(folder.path())->log().last().index == last + 1);
+    }
+}
+
+// Guards against damage that is taken for a torn tail, which would drop acknowledged entries.
+TEST_CASE("a flipped byte anywhere is reported as damage") {
+    for (const std::string_view name : {"log", "state", "snapshot"}) {
+        const scratch_folder folder;
+        fill(folder.path());
+        const auto path = folder.path() + '/' + std::string{name};
+        const auto whole = read_all(path);
+        for (std::size_t offset = 0; offset < whole.size(); ++offset) {
+            for (const char flip : {'\x01', '\x80', whole[offset]}) {
+                CAPTURE(name);
+                CAPTURE(offset);
+                auto bytes = whole;
+                bytes[offset] = static_cast<char>(bytes[offset] ^ flip);
+                if (bytes == whole) {
+                    continue;
+                }
+                write_all(path, bytes);
+                CHECK(reopen(folder.path()).status().code() == absl::StatusCode::kDataLoss);
+            }
+        }
+    }
+}
+
+struct damage_case {
+    std::string_view name;
+    std::function<void(const std::string&)> damage;
+    absl::StatusCode code;
+    std::uint64_t entries; ///< Index of the last entry when the folder can be opened.
+};
+
+// Guards against a damaged folder that opens, and against an interrupted write that does not.
+TEST_CASE("damage is told from interrupted writes") {
+    const auto remove = [](std::string_view name) {
+        return [name](const std::string& folder) {
+            std::filesystem::remove(folder + '/' + std::string{name});
+        };
+    };
+    const std::array cases{
+        damage_case{"log is missing", remove("log"), absl::StatusCode::kDataLoss, 0},
+        damage_case{"state is missing", remove("state"), absl::StatusCode::kDataLoss, 0},
+        damage_case{"snapshot is missing", remove("snapshot"), absl::StatusCode::kDataLoss, 0},
+        damage_case{"first record is missing",
+                    [](auto& folder) {
+                        const auto log = read_all(folder + "/log");
+                        write_all(folder + "/log", log.substr(log.size() / 4));
+                    },
+                    absl::StatusCode::kDataLoss, 0},
+        damage_case{"a record is repeated",
+                    [](auto& folder) {
+                        const auto log = read_all(folder + "/log");
+                        write_all(folder + "/log", log + log.substr(log.size() / 4 * 3));
+                    },
+                    absl::StatusCode::kDataLoss, 0},
+        damage_case{"zeros follow the last record",
+                    [](auto& folder) {
+                        const auto log = read_all(folder + "/log");
+                        write_all(folder + "/log", log + std::string(100, '\0'));
+                    },
+                    absl::StatusCode::kOk, 5},
+        damage_case{"last sector of the last record was not written",
+                    [](auto& folder) {
+                        auto log = read_all(folder + "/log");
+                        const auto sector = (log.size() - 1) / 512 * 512;
+                        REQUIRE(sector > log.size() / 4 * 3);
+                        std::fill(log.begin() + static_cast<std::ptrdiff_t>(sector), log.end(),
+                                  '\0');
+                        write_all(folder + "/log", log);
+                    },
+                    absl::StatusCode::kOk, 4},
+        damage_case{"replacement files were left behind",
+                    [](auto& folder) {
+                        write_all(folder + "/log.new", "x");
+                        write_all(folder + "/state.new", "x");
+                    },
+                    absl::StatusCode::kOk, 5},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        const scratch_folder folder;
+        fill(folder.path());
+        test.damage(folder.path());
+        const auto storage = reopen(folder.path());
+        CHECK(storage.status().code() == test.code);
+        if (storage.ok()) {
+            CHECK(storage->log().last().index == test.entries);
+        }
+    }
+}
+
+// Guards against a host that votes under its old identity after its folder was damaged, and
+// against damage that leaves no trace.
+TEST_CASE("a damaged folder is kept aside and replaced under a new identity") {
+    const scratch_folder parent;
+    const auto open = [&](std::uint64_t new_disk) {
+        return open_or_replace(parent.path(), "control-1", new_disk, core::from_count(123));
+    };
+    CHECK(open(disk)->storage.state().self == member_id{"control-1", disk});
+    CHECK(open(disk + 1)->storage.state().self == member_id{"control-1", disk});
+    write_all(parent.path() + "/config/state", "x");
+    const auto replaced = open(disk + 2);
+    REQUIRE(replaced.ok());
+    CHECK(replaced->storage.state() == hard_state{{"control-1", disk + 2}, 0, 0, {}});
+    CHECK(replaced->damaged_folder == parent.path() + "/config.damaged-123");
+    CHECK(read_all(replaced->damaged_folder + "/state") == "x");
+}
+
+// Guards against two processes, or two hosts' settings, over one folder.
+TEST_CASE("a folder belongs to one process and one host") {
+    const scratch_folder folder;
+    fill(folder.path());
+    const auto other_host = file_storage::open(folder.path(), "control-2", disk);
+    CHECK(other_host.status().code() == absl::StatusCode::kFailedPrecondition);
+    const auto first = reopen(folder.path());
+    CHECK(first.ok());
+    CHECK(reopen(folder.path()).status().code() == absl::StatusCode::kFailedPrecondition);
+}
+
+} // namespace
+} // namespace hawthornstall::control
