Attach the logic of a loop task before its constructor returns

Every loop task then waited without sockets and timers. Seen as a command-line test that waited for its stand-in entry host until its limit.

The constructor now starts run() and waits for it; an exception that attaching throws reaches the caller. The promise is moved to the thread, since the constructor may return while set_value() still runs.

--- a/src/hawthornstall/runtime/loop_task.hpp
+++ b/src/hawthornstall/runtime/loop_task.hpp
@@ -27,12 +27,22 @@
     using message = typename Logic::message;
 
     /// Takes messages from `inbox`; `arguments` construct the logic on the task's own thread.
+    /// Returns once the logic is attached; an exception that attaching throws is passed on.
     template <class... Arguments>
-    explicit loop_task(address<message> inbox, Arguments... arguments)
-        : inbox_(std::move(inbox)), thread_([this, ... arguments = std::move(arguments)]() mutable {
-              Logic logic{std::move(arguments)...};
-              serve(logic);
-          }) {}
+    explicit loop_task(address<message> inbox, Arguments... arguments) : inbox_(std::move(inbox)) {
+        std::promise<void> attached;
+        auto ready = attached.get_future();
+        thread_ = std::thread{
+            [this, attached = std::move(attached), ... arguments = std::move(arguments)]() mutable {
+                run(std::move(attached), std::move(arguments)...);
+            }};
+        try {
+            ready.get();
+        } catch (...) {
+            thread_.join();
+            throw;
+        }
+    }
 
     ~loop_task() { stop(); }
     loop_task(const loop_task&) = delete;
@@ -50,7 +60,7 @@
     }
 
 private:
-    template <class... Arguments> void run(std::promise<void>& attached, Arguments... arguments) {
+    template <class... Arguments> void run(std::promise<void> attached, Arguments... arguments) {
         std::unique_ptr<Logic> logic;
         try {
             logic = std::make_unique<Logic>(std::move(arguments)...);
@@ -59,7 +69,6 @@
             attached.set_exception(std::current_exception());
             return;
         }
-        // From here on the constructor may return, so `attached` is not touched again.
         attached.set_value();
         serve(*logic);
     }
--- a/tests/hawthornstall/runtime/loop_task_test.cpp
+++ b/tests/hawthornstall/runtime/loop_task_test.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <future>
+#include <memory>
 #include <stdexcept>
 #include <thread>
 #include <vector>
@@ -79,6 +80,45 @@
                          std::runtime_error);
 }
 
+/// Reports that it was attached, or fails to attach.
+class attaching_logic {
+public:
+    using message = int;
+
+    attaching_logic(bool fails, std::shared_ptr<bool> attached)
+        : fails_(fails), attached_(std::move(attached)) {}
+
+    void attach(event_loop& /*loop*/) {
+        if (fails_) {
+            throw std::runtime_error{"address in use"};
+        }
+        *attached_ = true;
+    }
+
+    void handle(message /*unused*/) {}
+
+private:
+    bool fails_;
+    std::shared_ptr<bool> attached_;
+};
+
+// Guards against a task that takes messages without its sockets and timers, and against a daemon
+// that ends without saying why a socket could not be opened.
+TEST_CASE("the constructor returns once the logic is attached and passes on a failure") {
+    for (const bool fails : {false, true}) {
+        const auto attached = std::make_shared<bool>(false);
+        const auto start = [&] {
+            const loop_task<attaching_logic> task{make_mailbox<int>(1), fails, attached};
+        };
+        if (fails) {
+            CHECK_THROWS_AS(start(), std::runtime_error);
+        } else {
+            start();
+        }
+        CHECK(*attached != fails);
+    }
+}
+
 // Guards against unbounded memory under overload and against messages taken after shutdown.
 TEST_CASE("a full or closed mailbox refuses messages") {
     mailbox<int> inbox{2};
