--- a/src/hawthornstall/http/admin_body.cpp
+++ b/src/hawthornstall/http/admin_body.cpp
@@ -98,4 +98,16 @@
     return nlohmann::json{{"result", result}, {"version", version}}.dump();
 }
 
+absl::StatusOr<received_edit_answer> decode_edit_answer(std::string_view body) {
+    detail::fault_log log{"decode_edit_answer"};
+    const auto document = detail::parse_document(body, log);
+    detail::object_reader reader{document, "", log};
+    received_edit_answer answer{.result = reader.text("result", detail::presence::required),
+                                .version = reader.number("version", detail::presence::required)};
+    if (!log.status().ok()) {
+        return log.status();
+    }
+    return answer;
+}
+
 } // namespace hawthornstall::http
--- a/src/hawthornstall/http/admin_body.hpp
+++ b/src/hawthornstall/http/admin_body.hpp
@@ -25,4 +25,15 @@
 /// Writes `{"result":"accepted","version":n}`.
 [[nodiscard]] std::string encode_edit_answer(std::string_view result, std::uint64_t version);
 
+/// An edit's answer as an operator's program receives it.
+struct received_edit_answer {
+    std::string result;
+    std::uint64_t version = 0;
+
+    bool operator==(const received_edit_answer&) const = default;
+};
+
+/// Inverse of encode_edit_answer.
+[[nodiscard]] absl::StatusOr<received_edit_answer> decode_edit_answer(std::string_view body);
+
 } // namespace hawthornstall::http
