--- /dev/null
+++ b/tests/hawthornstall/membership/target_registry_test.cpp
@@ -0,0 +1,176 @@
+#include "hawthornstall/membership/target_registry.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::membership {
+namespace {
+
+using core::duration_ms;
+using core::from_count;
+
+core::target_announcement announcement(std::uint64_t incarnation, std::uint64_t sequence,
+                                       bool leaving = false) {
+    core::target_announcement news;
+    news.name = "minion-1";
+    news.incarnation = incarnation;
+    news.sequence = sequence;
+    news.zone = "bilbao";
+    news.leaving = leaving;
+    return news;
+}
+
+target_registry make_host(std::string peer) {
+    return target_registry{{.incarnation = 1, .zone = "bilbao", .peers = {std::move(peer)}}};
+}
+
+void deliver(target_registry& host, std::string_view from, const registry_effects& effects,
+             std::int64_t at_ms) {
+    for (const auto& effect : effects) {
+        static_cast<void>(host.receive(from, 1, effect.body, from_count(at_ms)));
+    }
+}
+
+/// Two hosts with equal clocks that have exchanged one message in each direction at 0 ms.
+struct host_pair {
+    target_registry a = make_host("b");
+    target_registry b = make_host("a");
+
+    host_pair() {
+        deliver(b, "a", a.tick(from_count(0)), 0);
+        deliver(a, "b", b.tick(from_count(0)), 0);
+    }
+};
+
+struct order_step {
+    core::target_announcement news;
+    announce_result result;
+    bool usable;
+};
+
+struct order_case {
+    std::string_view name;
+    std::vector<order_step> steps;
+};
+
+// Guards against late announcements that undo later ones.
+TEST_CASE("announcements are ordered by incarnation and sequence") {
+    using enum announce_result;
+    auto other_zone = announcement(1, 1);
+    other_zone.zone = "oviedo";
+    const std::array cases{
+        order_case{"renewal",
+                   {{announcement(1, 1), accepted, true}, {announcement(1, 2), accepted, true}}},
+        order_case{"repeated",
+                   {{announcement(1, 2), accepted, true}, {announcement(1, 2), older, true}}},
+        order_case{"late announcement after a departure",
+                   {{announcement(1, 1), accepted, true},
+                    {announcement(1, 3, true), accepted, false},
+                    {announcement(1, 2), older, false},
+                    {announcement(1, 4, true), accepted, false}}},
+        order_case{
+            "departure is withdrawn",
+            {{announcement(1, 1, true), accepted, false}, {announcement(1, 2), accepted, true}}},
+        order_case{
+            "restart",
+            {{announcement(1, 9, true), accepted, false}, {announcement(2, 1), accepted, true}}},
+        order_case{"late departure of the old process",
+                   {{announcement(2, 1), accepted, true}, {announcement(1, 9, true), older, true}}},
+        order_case{"other zone", {{other_zone, wrong_zone, false}}},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        auto host = make_host("b");
+        for (const auto& step : test.steps) {
+            CAPTURE(step.news.sequence);
+            CHECK(host.announce(step.news, from_count(0)).result == step.result);
+            CHECK(host.is_usable("minion-1", from_count(0)) == step.usable);
+        }
+    }
+}
+
+// Guards against departures that wait for the next periodic message.
+TEST_CASE("a departure reaches the peers without a tick") {
+    host_pair hosts;
+    static_cast<void>(hosts.a.announce(announcement(1, 1), from_count(10)));
+    deliver(hosts.b, "a", hosts.a.tick(from_count(500)), 500);
+    CHECK(hosts.b.is_usable("minion-1", from_count(500)));
+    const auto left = hosts.a.announce(announcement(1, 2, true), from_count(600));
+    deliver(hosts.b, "a", left.messages, 601);
+    CHECK_FALSE(hosts.b.is_usable("minion-1", from_count(601)));
+}
+
+struct delay_case {
+    std::string_view name;
+    std::int64_t arrives_ms;
+    bool usable_on_arrival;
+};
+
+// Guards against leases that the delay of a message extends: the target announced itself at 10 ms,
+// and the message left at 500 ms.
+TEST_CASE("a lease ends at the same time however long its message travels") {
+    // 3,010 ms, less the margin of 30 ms and up to 20 ms by which the age is rounded up.
+    constexpr auto peer_lease_end = from_count(2970);
+    constexpr auto own_lease_end = from_count(3010);
+    constexpr duration_ms one{1};
+    constexpr std::array cases{delay_case{"fast", 500, true}, delay_case{"slow", 1700, true},
+                               delay_case{"slower than the lease", 3500, false}};
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        host_pair hosts;
+        static_cast<void>(hosts.a.announce(announcement(1, 1), from_count(10)));
+        deliver(hosts.b, "a", hosts.a.tick(from_count(500)), test.arrives_ms);
+        const auto arrival = from_count(test.arrives_ms);
+        const auto end = std::max(arrival, peer_lease_end);
+        CHECK(hosts.b.is_usable("minion-1", arrival) == test.usable_on_arrival);
+        CHECK(hosts.b.is_usable("minion-1", std::max(arrival, end - one)) ==
+              test.usable_on_arrival);
+        CHECK_FALSE(hosts.b.is_usable("minion-1", end));
+        CHECK(hosts.a.is_usable("minion-1", own_lease_end - one));
+        CHECK_FALSE(hosts.a.is_usable("minion-1", own_lease_end));
+    }
+}
+
+// Guards against unbounded memory under targets that appear under ever new names.
+TEST_CASE("the memory of departed targets is bounded in time and number") {
+    target_view<registry_rules> view;
+    for (std::size_t index = 0; index < max_departed + 5; ++index) {
+        auto news = announcement(1, 1, true);
+        news.name = "t" + std::to_string(index);
+        view.apply(news, from_count(static_cast<std::int64_t>(index)));
+    }
+    auto present = announcement(1, 1);
+    view.apply(present, from_count(0));
+    view.renew(present.name, {1, 1}, from_count(20'000), {});
+    view.forget_departed(from_count(20'001));
+    CHECK(view.entries().size() == max_departed + 1);
+    CHECK(view.find("t4") == nullptr);
+    CHECK(view.find("t5") != nullptr);
+    CHECK(view.find(present.name) != nullptr);
+    view.forget_departed(from_count(20'001) + departed_retention);
+    CHECK(view.entries().size() == 1);
+}
+
+// Guards against ages that a byte cannot hold and that would come back as a fresh lease.
+TEST_CASE("ages are rounded up and bounded") {
+    struct age_case {
+        std::int64_t age_ms;
+        std::int64_t decoded_ms; ///< -1 for no lease.
+    };
+    constexpr std::array cases{age_case{0, 0},       age_case{1, 20},    age_case{20, 20},
+                               age_case{5080, 5080}, age_case{5081, -1}, age_case{1'000'000, -1},
+                               age_case{-100, -1}};
+    for (const auto& test : cases) {
+        CAPTURE(test.age_ms);
+        const auto decoded = decode_age(encode_age(duration_ms{test.age_ms}));
+        CHECK(decoded.value_or(duration_ms{-1}).count() == test.decoded_ms);
+    }
+}
+
+} // namespace
+} // namespace hawthornstall::membership
