--- a/src/hawthornstall/journal/submission_table.hpp
+++ b/src/hawthornstall/journal/submission_table.hpp
@@ -72,6 +72,8 @@
         return wall_now - settings_.retention;
     }
 
+    [[nodiscard]] const owner_log& log() const noexcept { return *log_; }
+
 private:
     [[nodiscard]] submission_lookup find_recorded(const submission_key& submission,
                                                   const submission_state& state) const;
--- a/tests/hawthornstall/journal/random_schedule.hpp
+++ b/tests/hawthornstall/journal/random_schedule.hpp
@@ -66,8 +66,11 @@
 
 /// One submission and its resubmissions, through random hosts and partly with other content.
 template <class Simulation> void add_submission(Simulation& run) {
-    const simulated_call call{
-        .id = run.issue(run.draw(host_count)), .content = "first", .task_count = 1 + run.draw(3)};
+    // A host that doesn't serve may know an old generation only.
+    const auto issuer = run.serving_host();
+    const simulated_call call{.id = run.issue(issuer ? *issuer : run.draw(host_count)),
+                              .content = "first",
+                              .task_count = 1 + run.draw(3)};
     const auto calls = 1 + run.draw(4);
     for (unsigned index = 0; index < calls; ++index) {
         const duration_ms delay{run.chance(80) ? run.draw(400) : run.draw(2500)};
