Test pairs of failures at each step of a job's life

Each run states whether the shard must serve again, whether the generation must survive, and what a resubmission is told.

The simulation moves its types to a header of their own.

--- /dev/null
+++ b/tests/hawthornstall/journal/failure_pairs_test.cpp
@@ -0,0 +1,188 @@
+#include "simulation.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string_view>
+
+namespace hawthornstall::journal::testing {
+namespace {
+
+using simulated_run = simulation<replica, submission_table>;
+
+enum class failure : std::uint8_t {
+    owner_killed,
+    owner_paused,
+    replica_killed,
+    replica_restarted,
+    partition,
+};
+
+struct failure_case {
+    std::string_view name;
+    failure kind;
+};
+
+constexpr std::array failure_cases{
+    failure_case{"owner killed", failure::owner_killed},
+    failure_case{"owner paused", failure::owner_paused},
+    failure_case{"replica killed", failure::replica_killed},
+    failure_case{"replica restarted empty", failure::replica_restarted},
+    failure_case{"owner cut off from a replica", failure::partition},
+};
+
+/// Point of a job's life, in ms after its submission. Every message takes 1 ms, the task 10 ms.
+struct step_case {
+    std::string_view name;
+    int offset_ms;
+    bool is_started;
+    bool is_answered;
+};
+
+constexpr std::array step_cases{
+    step_case{"before the call", -1, false, false},
+    step_case{"records sent", 0, false, false},
+    step_case{"records at the replicas", 1, false, false},
+    step_case{"task running", 3, true, false},
+    step_case{"answer sent to the replicas", 12, true, false},
+    step_case{"answer at the replicas", 13, true, false},
+    step_case{"answered", 15, true, true},
+};
+
+/// Time between the two failures; a replica that restarted has been repaired after the longest.
+constexpr std::array gaps_ms{0, 1, 5, 300};
+constexpr int repaired_after_ms = 300;
+
+class failing_run {
+public:
+    explicit failing_run(simulated_run& run) : run_(run) {}
+
+    void fail(failure kind) {
+        constexpr duration_ms long_time{100'000};
+        switch (kind) {
+        case failure::owner_killed:
+            run_.restart_host(owner_, duration_ms{200});
+            replace_owner();
+            break;
+        case failure::owner_paused:
+            run_.pause_host(owner_, duration_ms{1000});
+            replace_owner();
+            break;
+        case failure::replica_killed:
+            run_.restart_replica(next_replica_++, long_time);
+            break;
+        case failure::replica_restarted:
+            run_.restart_replica(next_replica_++);
+            break;
+        case failure::partition:
+            run_.cut(owner_, next_replica_++, duration_ms{600});
+            break;
+        }
+    }
+
+    [[nodiscard]] std::size_t owner() const { return owner_; }
+
+private:
+    void replace_owner() {
+        owner_ = (owner_ + 1) % host_count;
+        run_.choose_owner(owner_);
+    }
+
+    simulated_run& run_;
+    std::size_t owner_ = 0;
+    std::size_t next_replica_ = 0; ///< Each failure hits another replica.
+};
+
+struct pair_case {
+    step_case step;
+    failure first;
+    failure second;
+    int gap_ms;
+};
+
+/// Whether two failures leave a quorum that holds the records, or one that may form a generation.
+bool expect_serving(const pair_case& test) {
+    const bool first_killed = test.first == failure::replica_killed;
+    const bool second_killed = test.second == failure::replica_killed;
+    const bool first_restarted = test.first == failure::replica_restarted;
+    const bool second_restarted = test.second == failure::replica_restarted;
+    const bool is_repaired = test.gap_ms >= repaired_after_ms;
+    return !(first_killed && (second_killed || second_restarted)) &&
+           !(first_restarted && second_killed && !is_repaired);
+}
+
+bool expect_new_generation(const pair_case& test) {
+    return test.first == failure::replica_restarted && test.second == failure::replica_restarted &&
+           test.gap_ms < repaired_after_ms;
+}
+
+void check_pair(const pair_case& test) {
+    simulated_run run{1, {.max_delay_ms = 1}};
+    run.refusal_percent = 0;
+    run.failure_percent = 0;
+    run.loss_percent = 0;
+    run.min_run_time_ms = 10;
+    run.max_run_time_ms = 10;
+    run.starts_at_once = true;
+    run.choose_owner(0);
+    run.run_for(duration_ms{400});
+    REQUIRE(run.serving_host() == 0);
+    const auto generation = run.log(0).generation();
+    const simulated_call call{.id = run.issue(0), .content = "first", .task_count = 2};
+    failing_run failures{run};
+
+    const auto called = run.now() + duration_ms{20};
+    const auto failed = called + duration_ms{test.step.offset_ms};
+    // Events of one time run in the order in which they were scheduled: the call comes first.
+    run.at(called, [&run, &call] { run.submit(0, call); });
+    run.at(failed, [&failures, &test] { failures.fail(test.first); });
+    run.at(failed + duration_ms{test.gap_ms}, [&failures, &test] { failures.fail(test.second); });
+    for (const int wait_ms : {50, 350, 700, 1100}) {
+        run.at(called + duration_ms{wait_ms},
+               [&run, &failures, &call] { run.submit(failures.owner(), call); });
+    }
+    // After the paused owners have resumed and before the identifier expires.
+    run.run_until(called + duration_ms{1400});
+
+    const auto violation = find_violation(run.events());
+    REQUIRE_MESSAGE(!violation, *violation);
+    const auto owner = failures.owner();
+    REQUIRE((run.serving_host() == owner) == expect_serving(test));
+    if (!expect_serving(test)) {
+        return;
+    }
+    CHECK((run.log(owner).generation() != generation) == expect_new_generation(test));
+    run.submit(owner, call);
+    const auto verdict = run.last_verdict().value();
+    CAPTURE(to_string(verdict));
+    if (expect_new_generation(test)) {
+        CHECK(verdict == submission_verdict::other_generation);
+    } else if (test.step.is_answered) {
+        CHECK(verdict == submission_verdict::answered);
+    } else {
+        // The resubmissions have run what was not started; nothing stays open or is refused.
+        CHECK((verdict == submission_verdict::answered ||
+               verdict == submission_verdict::may_have_run));
+        CHECK((!test.step.is_started || run.counts().starts == 2));
+    }
+}
+
+// Guards against a failure during the handling of another one: a job that is run twice, an answer
+// that is lost although a quorum held it, and a shard that stops although a quorum is left.
+TEST_CASE("pairs of failures at each step of a job's life") {
+    for (const auto& step : step_cases) {
+        for (const auto& first : failure_cases) {
+            for (const auto& second : failure_cases) {
+                for (const int gap_ms : gaps_ms) {
+                    CAPTURE(step.name);
+                    CAPTURE(first.name);
+                    CAPTURE(second.name);
+                    CAPTURE(gap_ms);
+                    check_pair({step, first.kind, second.kind, gap_ms});
+                }
+            }
+        }
+    }
+}
+
+} // namespace
+} // namespace hawthornstall::journal::testing
--- a/tests/hawthornstall/journal/simulation.hpp
+++ b/tests/hawthornstall/journal/simulation.hpp
@@ -5,84 +5,16 @@
 #include "hawthornstall/journal/replica.hpp"
 #include "hawthornstall/journal/submission_table.hpp"
 #include "history.hpp"
+#include "simulation_types.hpp"
 
 #include <algorithm>
 #include <array>
-#include <deque>
 #include <functional>
 #include <map>
-#include <memory>
 #include <random>
 
 namespace hawthornstall::journal::testing {
 
-using core::duration_ms;
-using core::time_ms;
-
-constexpr std::size_t host_count = 3;
-constexpr std::size_t replica_count = 3;
-
-inline const std::array<std::string, replica_count> replica_names{"r0", "r1", "r2"};
-inline const std::array<std::string, host_count> host_names{"h0", "h1", "h2"};
-inline const shard_id simulated_shard{"paint", "bilbao"};
-
-/// Times are shorter than in production, so that a run of a few seconds crosses them often.
-inline const owner_settings simulated_owner_settings{
-    .resend_after = duration_ms{40},
-    .probe_interval = duration_ms{80},
-    .quorum_timeout = duration_ms{200},
-    .max_backlog = 8,
-};
-inline const table_settings simulated_table_settings{
-    .retention = duration_ms{1500},
-    .max_clock_skew = duration_ms{1000},
-    .max_submissions = 100,
-};
-
-/// Lossy behaviour of the network, in percent of messages.
-struct network_settings {
-    unsigned drop_percent = 0;
-    unsigned duplicate_percent = 0;
-    int max_delay_ms = 5; ///< Delays are drawn per message, so messages overtake each other.
-};
-
-/// What happened in a run, to see that the schedules reach the cases they are for.
-struct run_counts {
-    int starts = 0;
-    int retries = 0;
-    int answers = 0;
-    int repeated_answers = 0;
-    int refusals = 0;
-    int step_downs = 0;
-    int generations = 0;
-    std::map<submission_verdict, int> verdicts;
-};
-
-struct simulated_job {
-    std::string id;
-    std::string content;
-    std::vector<std::string> results;
-};
-
-/// One call of a caller: a submission or a resubmission.
-struct simulated_call {
-    core::submission_id id;
-    std::string content;
-    std::uint32_t task_count = 1;
-};
-
-struct simulated_host {
-    std::uint64_t incarnation = 1;
-    std::unique_ptr<owner_log> log;
-    bool is_chosen = false; ///< Believes that it should own the shard.
-    time_ms paused_until{};
-    time_ms down_until{};
-    duration_ms clock_skew{};
-    std::deque<std::function<void()>> inbox; ///< Inputs that wait while the host is paused.
-    std::multimap<std::uint64_t, std::function<void()>> on_commit;
-    std::map<submission_key, simulated_job> jobs;
-};
-
 /// `Replica` and `Table` are the production types or deliberately broken ones.
 template <class Replica, class Table> class simulation {
 public:
@@ -173,6 +105,9 @@
     [[nodiscard]] const history& events() const { return events_; }
     [[nodiscard]] const run_counts& counts() const { return counts_; }
 
+    /// What the last call that reached a serving host was told.
+    [[nodiscard]] std::optional<submission_verdict> last_verdict() const { return last_verdict_; }
+
     /// Identifier as the host would issue it.
     [[nodiscard]] core::submission_id issue(std::size_t host) {
         return {.zone = simulated_shard.zone,
@@ -191,7 +126,10 @@
     /// Outcome of an attempt in percent: definite failure, and no reply. Otherwise an answer.
     unsigned failure_percent = 15;
     unsigned loss_percent = 5;
+    int min_run_time_ms = 1;
     int max_run_time_ms = 100;
+    /// All tasks start with the registration, as when slots are free; otherwise some start later.
+    bool starts_at_once = false;
 
 private:
     struct simulated_replica {
@@ -327,6 +265,7 @@
         const Table table{*host.log, simulated_table_settings};
         const auto found = table.find(call.id, digest(call.content), wall(host));
         ++counts_.verdicts[found.verdict];
+        last_verdict_ = found.verdict;
         const auto id = core::to_string(call.id);
         switch (found.verdict) {
         case submission_verdict::fresh:
@@ -365,8 +304,7 @@
         const auto id = core::to_string(call.id);
         hosts_.at(index).jobs[records.submission] = {id, call.content,
                                                      std::vector<std::string>(call.task_count)};
-        // Some tasks start with the registration, as when slots are free; the others later.
-        const auto first_starts = draw(call.task_count + 1);
+        const auto first_starts = starts_at_once ? call.task_count : draw(call.task_count + 1);
         append(index, records, [] {});
         job_records starts{.submission = records.submission};
         for (std::uint32_t task = 0; task < call.task_count; ++task) {
@@ -426,7 +364,8 @@
                 .task = item.task,
                 .attempt = item.attempt});
         const auto luck = draw(100);
-        const auto finish = now_ + duration_ms{1 + draw(static_cast<unsigned>(max_run_time_ms))};
+        const auto spread = static_cast<unsigned>(1 + max_run_time_ms - min_run_time_ms);
+        const auto finish = now_ + duration_ms{min_run_time_ms + static_cast<int>(draw(spread))};
         const bool has_failed = luck < failure_percent;
         if (!has_failed && luck < failure_percent + loss_percent) {
             return;
@@ -513,6 +452,7 @@
     std::array<std::array<time_ms, replica_count>, host_count> cut_until_{};
     history events_;
     run_counts counts_;
+    std::optional<submission_verdict> last_verdict_;
     generation_number last_generation_ = 0;
     int last_key_ = 0;
     int last_run_ = 0;
