Weigh queued work in ms, start jobs before they age out, fit tasks to speed

Admission now compares run times instead of task counts and allows for overtaking; a started job that has used half of its time goes by arrival only; a slow target gets the shortest task of a job.

--- a/src/hawthornstall/scheduling/job_queue.hpp
+++ b/src/hawthornstall/scheduling/job_queue.hpp
@@ -38,7 +38,7 @@
             return;
         }
         auto& team = at(job.team);
-        const auto key = order_.job_key({job.arrival, job.remaining()});
+        const auto key = order_.job_key({job.arrival, job.remaining(), job.urgent});
         job.queue_key = key;
         if (team.jobs.empty()) {
             // A team that was idle starts level with the others; it does not save up service.
@@ -66,11 +66,12 @@
         return ranking_.empty() ? nullptr : teams_[ranking_.begin()->second].jobs.begin()->job;
     }
 
-    /// Takes the next task of `job` out, for a start that is expected to run `expected_ms`.
-    returned_task take_task(job_state& job, double expected_ms) {
+    /// Takes the next task of `job` out, for a start that is expected to run `expected_ms`; of
+    /// tasks that never started, the shortest or the longest one.
+    returned_task take_task(job_state& job, double expected_ms, bool shortest = false) {
         auto& team = at(job.team);
-        const auto task = job.front();
-        job.pop_front();
+        const auto task = job.front(shortest);
+        job.pop_front(shortest);
         count(job, -1);
         served_floor_ms_ = std::max(served_floor_ms_, team.served_ms);
         team.served_ms += std::max<std::int64_t>(1, static_cast<std::int64_t>(expected_ms));
@@ -107,16 +108,26 @@
     }
 
     [[nodiscard]] std::uint64_t pending() const { return pending_; }
+    /// Expected run time of all pending tasks at speed 1.
+    [[nodiscard]] std::int64_t pending_ms() const { return pending_ms_; }
     [[nodiscard]] std::uint64_t pending_of(team_id team) const {
         return teams_[static_cast<std::size_t>(team)].pending;
     }
 
-    /// Pending tasks that go before the tasks of a new job, up to the width of a bin.
-    [[nodiscard]] std::uint64_t pending_before(team_id team, const job_ranking& ranking) const {
+    /// How long later jobs may still overtake a new one.
+    [[nodiscard]] std::int64_t overtaken_ms(const job_ranking& ranking) const {
+        return order_.job_key(ranking) - core::to_count(ranking.arrival);
+    }
+
+    /// Expected run time in ms of the pending tasks that go before the tasks of a new job, up to
+    /// the width of a bin.
+    [[nodiscard]] std::int64_t pending_ms_before(team_id team, const job_ranking& ranking) const {
         if constexpr (Order::shares_by_team) {
-            return std::min(pending_, pending_of(team) * std::max<std::size_t>(1, ranking_.size()));
+            const auto& own = teams_[static_cast<std::size_t>(team)];
+            const auto teams = static_cast<std::int64_t>(ranking_.size());
+            return std::min(pending_ms_, own.pending_ms * std::max<std::int64_t>(1, teams));
         } else {
-            std::uint64_t sum = 0;
+            std::int64_t sum = 0;
             const auto end = bins_.upper_bound(bin(order_.job_key(ranking)));
             for (auto at = bins_.begin(); at != end; ++at) {
                 sum += at->second;
@@ -139,6 +150,7 @@
     struct team_state {
         std::set<entry> jobs;
         std::uint64_t pending = 0;
+        std::int64_t pending_ms = 0;
         std::uint32_t running = 0;
         std::int64_t served_ms = 0;
         std::optional<std::int64_t> rank; ///< Key in `ranking_`; empty when not ranked.
@@ -154,8 +166,11 @@
         job.queued_tasks += static_cast<std::uint32_t>(change);
         pending_ += static_cast<std::uint64_t>(change);
         at(job.team).pending += static_cast<std::uint64_t>(change);
+        const auto change_ms = change * job.task_ms;
+        pending_ms_ += change_ms;
+        at(job.team).pending_ms += change_ms;
         const auto found = bins_.try_emplace(bin(*job.queue_key)).first;
-        found->second += static_cast<std::uint64_t>(change);
+        found->second += change_ms;
         if (found->second == 0) {
             bins_.erase(found);
         }
@@ -184,8 +199,9 @@
     std::vector<team_state> teams_;
     std::unordered_map<std::string, team_id> numbers_;
     std::set<std::pair<std::int64_t, std::uint32_t>> ranking_;
-    std::map<std::int64_t, std::uint64_t> bins_;
+    std::map<std::int64_t, std::int64_t> bins_; ///< Expected ms by bin of keys.
     std::uint64_t pending_ = 0;
+    std::int64_t pending_ms_ = 0;
     std::int64_t served_floor_ms_ = 0;
     std::uint32_t team_limit_ = UINT32_MAX;
 };
--- a/src/hawthornstall/scheduling/queue_order.hpp
+++ b/src/hawthornstall/scheduling/queue_order.hpp
@@ -13,6 +13,7 @@
 struct job_ranking {
     core::time_ms arrival{};
     std::uint32_t remaining = 0; ///< Tasks without an answer.
+    bool urgent = false;         ///< Has started and used up half of its time.
 };
 
 /// An order gives each job a key within its team, and each team a key from the smallest key of its
@@ -57,7 +58,8 @@
     static constexpr core::duration_ms per_task{10};
 
     [[nodiscard]] std::int64_t job_key(const job_ranking& ranking) const {
-        return core::to_count(ranking.arrival) + per_task.count() * ranking.remaining;
+        const auto size = ranking.urgent ? 0 : per_task.count() * ranking.remaining;
+        return core::to_count(ranking.arrival) + size;
     }
     [[nodiscard]] std::int64_t team_key(std::int64_t first_job, std::int64_t /*served*/) const {
         return first_job;
--- a/src/hawthornstall/scheduling/run_time_model.hpp
+++ b/src/hawthornstall/scheduling/run_time_model.hpp
@@ -39,6 +39,9 @@
     /// True when the class has enough samples for decisions that refuse work.
     [[nodiscard]] bool is_learned(team_id team, core::duration_ms declared) const;
 
+    /// Like expected_ms, with the mean of the service for classes that are not learned.
+    [[nodiscard]] double learned_or_mean_ms(team_id team, core::duration_ms declared) const;
+
     /// Mean run time in ms at speed 1 over the recent tasks of the service.
     [[nodiscard]] double mean_ms() const noexcept { return mean_ms_; }
 
--- a/src/hawthornstall/scheduling/scheduler.hpp
+++ b/src/hawthornstall/scheduling/scheduler.hpp
@@ -13,8 +13,10 @@
 #include "hawthornstall/scheduling/target_pool.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <memory>
+#include <numeric>
 #include <string_view>
 #include <utility>
 
@@ -151,6 +153,7 @@
 
     [[nodiscard]] std::optional<refusal> refuse(const job_state& job, core::time_ms now) const;
     [[nodiscard]] core::duration_ms expected_drain() const;
+    [[nodiscard]] double total_ms(const job_state& job) const;
     [[nodiscard]] double longest_learned_ms(const job_state& job) const;
     [[nodiscard]] bool may_retry(const job_state& job, std::uint32_t task) const {
         return job.idempotent && (job.single || retry_.retry_failed_starts) &&
@@ -163,6 +166,13 @@
         timers_.emplace(job_timer{due, job.sequence}, &job);
     }
 
+    void make_urgent(job_state& job) {
+        if (!job.urgent) {
+            job.urgent = true;
+            queue_.update(job);
+        }
+    }
+
     void release(attempt_id id, attempt_state& attempt);
     void settle(job_state& job, std::uint32_t task, attempt_result result, target_id target);
     void end_unanswered(job_state& job, end_reason reason, core::duration_ms retry_after = {});
@@ -171,7 +181,8 @@
     void expire_jobs(core::time_ms now);
     void start_tasks(core::time_ms now);
     [[nodiscard]] std::optional<target_id> place(const job_state& job, core::time_ms now);
-    attempt_id start(job_state& job, std::uint32_t task, target_id target, core::time_ms now);
+    attempt_id start(job_state& job, std::uint32_t task, target_id target, core::time_ms now,
+                     bool is_hedge);
     void hedge_stragglers(core::time_ms now);
     [[nodiscard]] std::optional<core::time_ms> next_call(core::time_ms now) const;
 
--- a/src/hawthornstall/scheduling/scheduler_impl.hpp
+++ b/src/hawthornstall/scheduling/scheduler_impl.hpp
@@ -24,6 +24,16 @@
             static_cast<std::uint32_t>(std::clamp<std::int64_t>(declared.count(), 0, UINT32_MAX)));
     }
     job.attempts.resize(job.declared_ms.size());
+    job.order.resize(job.declared_ms.size());
+    job.end = job.task_count();
+    std::iota(job.order.begin(), job.order.end(), 0U);
+    // The longest tasks first, so that the fastest free targets get them.
+    std::stable_sort(job.order.begin(), job.order.end(), [&job](auto left, auto right) {
+        return job.declared_ms[left] > job.declared_ms[right];
+    });
+    const double own_ms = total_ms(job);
+    job.task_ms =
+        std::max<std::int64_t>(1, std::llround(own_ms / std::max<double>(1.0, job.task_count())));
     if (const auto refused = refuse(job, now)) {
         pending_.ends.push_back(
             {id, core::outcome_class::refused_not_run, refused->reason, refused->retry_after});
@@ -37,7 +47,8 @@
     const auto run_time = core::duration_ms{static_cast<std::int64_t>(longest_learned_ms(job))};
     const auto margin = std::clamp(run_time, core::duration_ms{1},
                                    std::max(core::duration_ms{1}, (job.deadline - now) / 2));
-    job.timeout = job.deadline - margin;
+    job.refuse_at = job.deadline - margin;
+    job.timeout = job.urgent_at();
     timers_.emplace(job_timer{job.timeout, job.sequence}, &job);
     queue_.update(job);
     jobs_.emplace(id, std::move(owned));
@@ -63,11 +74,12 @@
         const bool never = tasks > std::min(queue_limit, team_limit);
         return refusal{end_reason::queue_quota, never ? core::duration_ms{} : expected_drain()};
     }
+    const job_ranking ranking{job.arrival, job.task_count(), false};
     const admission_request request{
         .time_left = job.deadline - now,
-        .tasks_before = queue_.pending_before(job.team, {job.arrival, job.task_count()}),
-        .tasks = job.task_count(),
-        .mean_ms = model_.mean_ms(),
+        .before_ms = static_cast<double>(queue_.pending_ms_before(job.team, ranking)),
+        .own_ms = static_cast<double>(job.task_ms * job.task_count()),
+        .overtaken_ms = static_cast<double>(queue_.overtaken_ms(ranking)),
         .speed = pool_.usable_speed(),
         .longest_ms = longest_learned_ms(job),
     };
@@ -83,11 +95,20 @@
     if (pool_.usable_speed() <= 0.0) {
         return core::duration_ms{1000}; // One lease renewal: the next time targets may appear.
     }
-    const double ms =
-        static_cast<double>(queue_.pending()) * model_.mean_ms() / pool_.usable_speed();
+    const double ms = static_cast<double>(queue_.pending_ms()) / pool_.usable_speed();
     return core::duration_ms{static_cast<std::int64_t>(ms) + 1};
 }
 
+template <queue_order Order, capacity_model Capacity, placement_policy Placement,
+          admission_policy Admission>
+double scheduler<Order, Capacity, Placement, Admission>::total_ms(const job_state& job) const {
+    double sum = 0.0;
+    for (std::uint32_t task = 0; task < job.task_count(); ++task) {
+        sum += model_.learned_or_mean_ms(job.team, job.declared(task));
+    }
+    return sum;
+}
+
 template <queue_order Order, capacity_model Capacity, placement_policy Placement,
           admission_policy Admission>
 double
@@ -265,11 +286,13 @@
 void scheduler<Order, Capacity, Placement, Admission>::expire_jobs(core::time_ms now) {
     while (!timers_.empty() && timers_.begin()->first.first <= now) {
         auto& job = *timers_.begin()->second;
-        const bool may_have_started = job.ran || job.first_attempt;
-        if (may_have_started && now < job.deadline) {
+        if (now >= job.deadline || (!job.has_started() && now >= job.refuse_at)) {
+            end_unanswered(job, end_reason::deadline, expected_drain());
+        } else if (job.has_started()) {
+            make_urgent(job);
             set_timer(job, job.deadline);
         } else {
-            end_unanswered(job, end_reason::deadline, expected_drain());
+            set_timer(job, job.refuse_at);
         }
     }
 }
@@ -283,9 +306,8 @@
         return probe;
     }
     const placement_choice choice{
-        .mean_ms = model_.mean_ms(),
         .expected_ms = model_.expected_ms(job.team, job.declared(task.task)),
-        .pending = queue_.pending(),
+        .pending_ms = static_cast<double>(queue_.pending_ms()),
         .held_ms = held_since_ ? static_cast<double>((now - *held_since_).count()) : 0.0,
     };
     return pool_.pick(placement_, choice, task.avoid);
@@ -312,17 +334,23 @@
             }
             return;
         }
-        const auto expected = model_.expected_ms(job->team, job->declared(job->front().task));
-        const auto task = queue_.take_task(*job, expected);
-        start(*job, task.task, *target, now);
+        // A slow target gets the shortest task of the job, so that the long ones, which decide when
+        // the job ends, are left to fast targets.
+        const bool slow =
+            pool_.speed(*target).value() * pool_.usable_slots() < pool_.usable_speed();
+        const auto expected = model_.expected_ms(job->team, job->declared(job->front(slow).task));
+        const auto task = queue_.take_task(*job, expected, slow);
+        start(*job, task.task, *target, now, false);
+        if (now >= job->urgent_at()) {
+            make_urgent(*job);
+        }
     }
 }
 
 template <queue_order Order, capacity_model Capacity, placement_policy Placement,
           admission_policy Admission>
-attempt_id
-scheduler<Order, Capacity, Placement, Admission>::start(job_state& job, std::uint32_t task,
-                                                        target_id target, core::time_ms now) {
+attempt_id scheduler<Order, Capacity, Placement, Admission>::start(
+    job_state& job, std::uint32_t task, target_id target, core::time_ms now, bool is_hedge) {
     attempt_state attempt;
     attempt.job = &job;
     attempt.team = job.team;
@@ -331,7 +359,7 @@
     attempt.target = target;
     attempt.begin = now;
     const auto number = ++job.attempts[task];
-    if (retry_.hedge && may_retry(job, task)) {
+    if (retry_.hedge && !is_hedge && may_retry(job, task)) {
         const double expected =
             model_.expected_ms(job.team, attempt.declared) / pool_.speed(target).value();
         attempt.hedge_at =
@@ -365,7 +393,7 @@
             continue;
         }
         queue_.begin_attempt(attempt.team);
-        const auto hedge = start(*attempt.job, attempt.task, *target, now);
+        const auto hedge = start(*attempt.job, attempt.task, *target, now, true);
         // The table may have moved its entries.
         attempts_.find(id)->twin = hedge;
         attempts_.find(hedge)->twin = id;
