--- a/scripts/cluster.bash
+++ b/scripts/cluster.bash
@@ -33,7 +33,10 @@
         free_port
         HTTP[$name]=127.0.0.1:$FREE_PORT
     done
-    for name in "${CONTROL_HOSTS[@]}"; do write_control_settings "$name"; done
+    for name in "${CONTROL_HOSTS[@]}"; do
+        mkdir "$DIR/$name"
+        write_control_settings "$name"
+    done
     for name in "${ENTRY_HOSTS[@]}"; do write_entry_settings "$name"; done
 }
 
@@ -70,8 +73,9 @@
                    {token: $operator, name: "oncall", role: "operator"}]}' >"$DIR/$1.json"
 }
 
+# start_control NAME [FLAGS...]
 start_control() {
-    "$BIN/hawthornstall-controld" --settings "$DIR/$1.json" >>"$DIR/$1.log" 2>&1 &
+    "$BIN/hawthornstall-controld" --settings "$DIR/$1.json" "${@:2}" >>"$DIR/$1.log" 2>&1 &
     PID[$1]=$!
 }
 
--- a/src/hawthornstall/entry/dispatcher.cpp
+++ b/src/hawthornstall/entry/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "hawthornstall/entry/dispatcher.hpp"
 
 #include "hawthornstall/core/error.hpp"
+#include "hawthornstall/core/overloaded.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -17,8 +18,6 @@
 /// Longest time without a call of tick().
 constexpr core::duration_ms idle_interval{500};
 
-template <class... Handlers> struct overloaded : Handlers... { using Handlers::operator()...; };
-
 } // namespace detail
 
 dispatcher::dispatcher(dispatcher_options options, times started)
@@ -178,7 +177,7 @@
 
 void dispatcher::carry_out(shard& source, shard_effects effects, times at) {
     for (auto& effect : effects) {
-        std::visit(detail::overloaded{
+        std::visit(core::overloaded{
                        [&](journal_message_out& out) {
                            send_journal(out.replica, std::move(out.message), at);
                        },
--- a/src/hawthornstall/entry/dispatcher_config.cpp
+++ b/src/hawthornstall/entry/dispatcher_config.cpp
@@ -1,6 +1,7 @@
 /// Members of dispatcher that follow the configuration.
 
 #include "hawthornstall/core/error.hpp"
+#include "hawthornstall/core/overloaded.hpp"
 #include "hawthornstall/entry/dispatcher.hpp"
 
 #include <algorithm>
@@ -9,8 +10,6 @@
 namespace hawthornstall::entry {
 namespace detail {
 
-template <class... Handlers> struct overloaded : Handlers... { using Handlers::operator()...; };
-
 core::audit_view to_view(const control::audit_record& record) {
     return {.revision = record.revision,
             .edit_id = record.edit_id,
@@ -40,7 +39,7 @@
 void dispatcher::carry_out(config_effects effects, times at) {
     for (auto& effect : effects) {
         std::visit(
-            detail::overloaded{
+            core::overloaded{
                 [&](control_out& out) {
                     effects_.emplace_back(outgoing_message{out.host, std::move(out.message)});
                 },
--- a/src/hawthornstall/entry/dispatcher_logic.cpp
+++ b/src/hawthornstall/entry/dispatcher_logic.cpp
@@ -1,13 +1,13 @@
 #include "hawthornstall/entry/dispatcher_logic.hpp"
 
+#include "hawthornstall/core/overloaded.hpp"
+
 #include <algorithm>
 #include <utility>
 
 namespace hawthornstall::entry {
 namespace detail {
 
-template <class... Handlers> struct overloaded : Handlers... { using Handlers::operator()...; };
-
 dispatcher::times current_times() {
     return {.now = core::ms_clock::now(), .wall = core::ms_clock::wall_now()};
 }
@@ -36,7 +36,7 @@
 void dispatcher_logic::carry_out(dispatcher_effects effects) {
     for (auto& effect : effects) {
         // A full mailbox drops the message: peers resend, and callers reach their deadline.
-        std::visit(detail::overloaded{
+        std::visit(core::overloaded{
                        [&](outgoing_message& out) { (void)peers_.links->post(std::move(out)); },
                        [&](start_order& order) { post_start(std::move(order)); },
                        [&](front_out& out) {
--- a/src/hawthornstall/entry/shard.cpp
+++ b/src/hawthornstall/entry/shard.cpp
@@ -60,7 +60,7 @@
     return take_effects(at);
 }
 
-shard_effects shard::submit(core::job_request request, reply_address reply_to, times at) {
+shard_effects shard::submit(core::job_request request, const reply_address& reply_to, times at) {
     const auto wanted =
         request.deadline.count() > 0 ? request.deadline : document_.terms.default_deadline;
     const auto deadline = at.now + std::min(wanted, document_.terms.max_deadline);
--- a/src/hawthornstall/entry/shard.hpp
+++ b/src/hawthornstall/entry/shard.hpp
@@ -53,7 +53,8 @@
     /// Stops taking new jobs and sends jobs back of which nothing has started.
     [[nodiscard]] shard_effects drain(times at);
 
-    [[nodiscard]] shard_effects submit(core::job_request request, reply_address reply_to, times at);
+    [[nodiscard]] shard_effects submit(core::job_request request, const reply_address& reply_to,
+                                       times at);
     [[nodiscard]] shard_effects task_ended(std::uint64_t run, task_result result,
                                            std::string_view body, times at);
     [[nodiscard]] shard_effects journal_message(const journal::replica_message& message, times at);
--- a/src/hawthornstall/entry/shard_ownership.cpp
+++ b/src/hawthornstall/entry/shard_ownership.cpp
@@ -1,5 +1,6 @@
 /// Members of shard that follow the journal: gaining, confirming and losing ownership.
 
+#include "hawthornstall/core/overloaded.hpp"
 #include "hawthornstall/entry/shard.hpp"
 
 #include <algorithm>
@@ -9,8 +10,6 @@
 namespace hawthornstall::entry {
 namespace detail {
 
-template <class... Handlers> struct overloaded : Handlers... { using Handlers::operator()...; };
-
 constexpr std::string_view ownership_lost =
     "the owner lost its journal quorum or was superseded after tasks had started";
 
@@ -18,7 +17,7 @@
 
 void shard::take_journal_effects(journal::owner_effects effects, times at) {
     for (auto& effect : effects) {
-        std::visit(detail::overloaded{
+        std::visit(core::overloaded{
                        [&](journal::send_to_replica& send) {
                            effects_.emplace_back(
                                journal_message_out{send.replica, std::move(send.message)});
--- a/tests/hawthornstall/entry/zone_harness.cpp
+++ b/tests/hawthornstall/entry/zone_harness.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::string_view zone = "zone-a";
-constexpr std::size_t replica_count = 3;
+constexpr std::ptrdiff_t replica_count = 3;
 
 /// Offset of the wall clock, so that code which mixes the two clocks up is noticed.
 constexpr core::duration_ms wall_offset{500'000'000};
@@ -49,7 +49,7 @@
         }
     }
     options.journal_replicas = {names_.begin(),
-                                names_.begin() + std::min(replica_count, names_.size())};
+                                names_.begin() + std::min(replica_count, std::ssize(names_))};
     options.control_hosts = {"c1"};
     host.logic = std::make_unique<dispatcher>(std::move(options), times());
     schedule(now_, name, [document = document_] {
