Use the target registry and test isolated owners

The registry orders news by incarnation and sequence, bounds the sending time of renewals, and the lease is checked again when a task is sent. New cases isolate the owner while a caller still reaches it, and a target that runs but stays silent.

--- a/src/hawthornstall/entry/dispatcher.cpp
+++ b/src/hawthornstall/entry/dispatcher.cpp
@@ -22,7 +22,10 @@
 
 dispatcher::dispatcher(dispatcher_options options, times started)
     : options_(std::move(options)), hosts_(options_.self, options_.others, started.now),
-      replica_(options_.self.name, options_.incarnation), config_(options_.control_hosts) {}
+      replica_(options_.self.name, options_.incarnation), config_(options_.control_hosts),
+      registry_({.incarnation = options_.incarnation,
+                 .zone = options_.self.zone,
+                 .peers = hosts_.zone_peers()}) {}
 
 dispatcher_effects dispatcher::handle(dispatcher_message message, times at) {
     std::visit([&](auto&& input) { take(std::forward<decltype(input)>(input), at); },
@@ -38,7 +41,7 @@
             carry_out(*owned, owned->tick(at), at);
         }
     }
-    expire_targets(at);
+    tick_targets(at);
     for (const auto number : forwarded_.due(at.now)) {
         ask_owner(number, at);
     }
@@ -76,11 +79,14 @@
         carry_out(config_.handle(incoming.peer, *config, at.now), at);
         return;
     }
-    std::visit(
-        [&](auto&& content) {
-            receive(incoming.peer, std::forward<decltype(content)>(content), at);
-        },
-        std::get<peer_message>(std::move(incoming.content)));
+    auto& content = std::get<peer_message>(incoming.content);
+    std::visit(core::overloaded{
+                   [&](membership::message& news) {
+                       receive(incoming.peer, incoming.incarnation, news, at);
+                   },
+                   [&](auto& message) { receive(incoming.peer, std::move(message), at); },
+               },
+               content);
 }
 
 void dispatcher::take(const peer_state_changed& change, times at) {
@@ -239,7 +245,8 @@
 }
 
 dispatcher_effects dispatcher::take_effects(times at) {
-    next_call_ = std::min({next_notice_, next_claim_, at.now + detail::idle_interval});
+    next_call_ =
+        std::min({next_notice_, next_claim_, next_target_tick_, at.now + detail::idle_interval});
     for (const auto& [service, owned] : shards_) {
         next_call_ = std::min(next_call_, owned->next_call());
     }
--- a/src/hawthornstall/entry/dispatcher.hpp
+++ b/src/hawthornstall/entry/dispatcher.hpp
@@ -9,12 +9,14 @@
 #include "hawthornstall/entry/host_directory.hpp"
 #include "hawthornstall/entry/shard.hpp"
 #include "hawthornstall/journal/replica.hpp"
+#include "hawthornstall/membership/target_registry.hpp"
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace hawthornstall::entry {
@@ -52,10 +54,13 @@
     [[nodiscard]] std::uint64_t generation_of(std::string_view service) const;
 
 private:
-    struct known_target {
-        core::target_announcement last_news;
-        core::time_ms expires{};
+    /// What the shards were last told about a target.
+    struct offered_target {
+        core::target_capacity capacity;
+        std::vector<std::string> services;
         bool available = false;
+
+        bool operator==(const offered_target&) const = default;
     };
 
     void take(job_arrived arrived, times at);
@@ -72,7 +77,8 @@
     void receive(std::string_view peer, const job_done& done, times at);
     void receive(std::string_view peer, const not_owner& refusal, times at);
     void receive(std::string_view peer, ownership_notice notice, times at);
-    void receive(std::string_view peer, const target_update& update, times at);
+    void receive(std::string_view peer, std::uint64_t incarnation,
+                 const membership::message& message, times at);
     void receive(std::string_view peer, const journal::owner_message& message, times at);
     void receive(std::string_view peer, const journal::replica_message& message, times at);
 
@@ -94,10 +100,12 @@
     void send(std::string_view peer, peer_message message);
     void send_notices(times at);
     [[nodiscard]] ownership_notice make_notice(times at) const;
-    void start(const shard& source, run_task task, times at);
-    void take_announcement(const core::target_announcement& news, times at);
-    void offer_target(shard& to, const known_target& target, times at);
-    void expire_targets(times at);
+    void start(shard& source, run_task task, times at);
+    void tick_targets(times at);
+    void carry_out(membership::registry_effects effects);
+    void offer_all_targets(times at);
+    void offer_to_shards(const membership::target_entry& entry, times at);
+    void offer_target(shard& to, const membership::target_entry& entry, times at);
     void offer_targets(shard& to, times at);
     void to_front(const local_caller& caller, front_message message);
     [[nodiscard]] dispatcher_effects take_effects(times at);
@@ -108,7 +116,9 @@
     forward_table forwarded_;
     std::map<std::string, std::unique_ptr<shard>, std::less<>> shards_;
     config_client config_;
-    std::map<std::string, known_target, std::less<>> targets_;
+    membership::target_registry registry_;
+    std::unordered_map<std::string, offered_target> offered_;
+    core::time_ms next_target_tick_{};
     bool draining_ = false;
     bool notice_due_ = false;
     core::time_ms next_notice_{};
--- a/src/hawthornstall/entry/dispatcher_targets.cpp
+++ b/src/hawthornstall/entry/dispatcher_targets.cpp
@@ -7,90 +7,118 @@
 #include <utility>
 
 namespace hawthornstall::entry {
+namespace detail {
 
-void dispatcher::take(const target_news& news, times at) {
-    absl::Status status;
-    if (news.announcement.zone != options_.self.zone) {
-        status = core::make_error(absl::StatusCode::kInvalidArgument,
-                                  {.step = "announce_target", .peer = news.announcement.name},
-                                  "this entry host serves zone \"" + options_.self.zone +
-                                      "\"; announce to a host of the target's own zone");
-    } else {
-        take_announcement(news.announcement, at);
-        for (const auto& peer : hosts_.zone_peers()) {
-            send(peer, target_update{news.announcement});
-        }
+absl::Status to_status(membership::announce_result result, std::string_view target,
+                       std::string_view zone) {
+    const core::error_origin origin{.step = "announce_target", .peer = target};
+    switch (result) {
+    case membership::announce_result::accepted:
+        return absl::OkStatus();
+    case membership::announce_result::older:
+        return core::make_error(absl::StatusCode::kAborted, origin,
+                                "later news of this target is known; raise the sequence, or the "
+                                "incarnation after a restart");
+    case membership::announce_result::wrong_zone:
+        return core::make_error(absl::StatusCode::kInvalidArgument, origin,
+                                "this entry host serves zone \"" + std::string{zone} +
+                                    "\"; announce to a host of the target's own zone");
+    case membership::announce_result::full:
+        break;
     }
+    return core::make_error(absl::StatusCode::kResourceExhausted, origin,
+                            "this entry host knows too many targets; announce to another one");
+}
+
+} // namespace detail
+
+void dispatcher::take(const target_news& news, times at) {
+    auto announced = registry_.announce(news.announcement, at.now);
+    const auto status =
+        detail::to_status(announced.result, news.announcement.name, options_.self.zone);
     to_front(news.from, request_done{news.from.request, status});
+    carry_out(std::move(announced.messages));
+    if (const auto* const entry = registry_.view().find(news.announcement.name)) {
+        offer_to_shards(*entry, at);
+    }
+}
+
+void dispatcher::receive(std::string_view peer, std::uint64_t incarnation,
+                         const membership::message& message, times at) {
+    carry_out(registry_.receive(peer, incarnation, message, at.now));
+    offer_all_targets(at);
+}
+
+void dispatcher::tick_targets(times at) {
+    if (at.now >= next_target_tick_) {
+        next_target_tick_ = at.now + membership::delta_interval;
+        carry_out(registry_.tick(at.now));
+        offer_all_targets(at);
+    }
 }
 
-void dispatcher::receive(std::string_view /*peer*/, const target_update& update, times at) {
-    take_announcement(update.announcement, at);
+void dispatcher::carry_out(membership::registry_effects effects) {
+    for (auto& out : effects) {
+        send(out.peer, std::move(out.body));
+    }
 }
 
-void dispatcher::take_announcement(const core::target_announcement& news, times at) {
-    auto& known = targets_[news.name];
-    const auto rank = [](const auto& announcement) {
-        return std::pair{announcement.incarnation, announcement.sequence};
-    };
-    if (rank(news) <= rank(known.last_news)) {
+void dispatcher::offer_all_targets(times at) {
+    for (const auto& [name, entry] : registry_.view().entries()) {
+        offer_to_shards(entry, at);
+    }
+}
+
+void dispatcher::offer_to_shards(const membership::target_entry& entry, times at) {
+    const auto& news = entry.news;
+    const offered_target offer{
+        .capacity = news.capacity, .services = news.services, .available = entry.is_usable(at.now)};
+    auto& last = offered_[news.name];
+    if (last == offer) {
         return;
     }
-    known.last_news = news;
-    known.expires = at.now + news.lease;
-    known.available = !news.leaving;
+    last = offer;
     for (auto& [service, owned] : shards_) {
-        offer_target(*owned, known, at);
+        offer_target(*owned, entry, at);
     }
 }
 
-void dispatcher::offer_target(shard& to, const known_target& target, times at) {
-    const auto& services = target.last_news.services;
+void dispatcher::offer_target(shard& to, const membership::target_entry& entry, times at) {
+    const auto& services = entry.news.services;
     if (std::ranges::find(services, to.log().shard().service) != services.end()) {
-        carry_out(to, to.set_target(target.last_news, target.available, at), at);
+        carry_out(to, to.set_target(entry.news, entry.is_usable(at.now), at), at);
     }
 }
 
 void dispatcher::offer_targets(shard& to, times at) {
-    for (const auto& [name, target] : targets_) {
-        offer_target(to, target, at);
-    }
-}
-
-void dispatcher::expire_targets(times at) {
-    for (auto& [name, target] : targets_) {
-        if (target.available && target.expires <= at.now) {
-            target.available = false;
-            for (auto& [service, owned] : shards_) {
-                offer_target(*owned, target, at);
-            }
-        }
+    for (const auto& [name, entry] : registry_.view().entries()) {
+        offer_target(to, entry, at);
     }
 }
 
-core::admin_view dispatcher::view_targets(times /*at*/) const {
+core::admin_view dispatcher::view_targets(times at) const {
     std::vector<core::target_view> rows;
-    for (const auto& [name, target] : targets_) {
-        rows.push_back({.last_news = target.last_news,
-                        .available = target.available,
-                        .reason = target.available           ? ""
-                                  : target.last_news.leaving ? "leaving"
-                                                             : "lease expired"});
+    for (const auto& [name, entry] : registry_.view().entries()) {
+        const bool usable = entry.is_usable(at.now);
+        rows.push_back({.last_news = entry.news,
+                        .available = usable,
+                        .reason = usable               ? ""
+                                  : entry.news.leaving ? "leaving"
+                                                       : "lease expired"});
     }
     return rows;
 }
 
-void dispatcher::start(const shard& source, run_task task, times at) {
-    const auto& service = source.log().shard().service;
-    const auto found = targets_.find(task.target);
-    if (found == targets_.end()) {
-        effects_.emplace_back(
-            start_order{.service = service, .address = {}, .task = std::move(task)});
+void dispatcher::start(shard& source, run_task task, times at) {
+    // Availability is offered to shards with a delay, so the lease is checked once more here.
+    const auto* const entry = registry_.view().find(task.target);
+    if (entry == nullptr || !entry->is_usable(at.now)) {
+        carry_out(source, source.task_ended(task.run, task_result::not_sent, {}, at), at);
         return;
     }
-    (void)at;
-    effects_.emplace_back(start_order{
-        .service = service, .address = found->second.last_news.address, .task = std::move(task)});
+    effects_.emplace_back(start_order{.service = source.log().shard().service,
+                                      .address = entry->news.address,
+                                      .task = std::move(task)});
 }
 
 } // namespace hawthornstall::entry
--- a/src/hawthornstall/entry/peer_message_layout.hpp
+++ b/src/hawthornstall/entry/peer_message_layout.hpp
@@ -4,6 +4,7 @@
 
 #include "hawthornstall/entry/peer_message.hpp"
 #include "hawthornstall/journal/layouts.hpp"
+#include "hawthornstall/membership/wire_layouts.hpp"
 #include "hawthornstall/wire/job_layouts.hpp"
 
 namespace hawthornstall::wire {
@@ -21,23 +22,6 @@
     static constexpr auto members = std::tuple{&entry::not_owner::number};
 };
 
-template <> struct layout<core::target_capacity> {
-    using type = core::target_capacity;
-    static constexpr auto members = std::tuple{&type::slots, &type::connections, &type::cores,
-                                               &type::memory_mb, &type::accelerators};
-};
-
-template <> struct layout<core::target_announcement> {
-    using type = core::target_announcement;
-    static constexpr auto members = std::tuple{
-        &type::name,    &type::incarnation, &type::sequence, &type::zone,  &type::rack,
-        &type::address, &type::services,    &type::capacity, &type::lease, &type::leaving};
-};
-
-template <> struct layout<entry::target_update> {
-    static constexpr auto members = std::tuple{&entry::target_update::announcement};
-};
-
 template <> struct layout<entry::owned_shard> {
     static constexpr auto members = std::tuple{
         &entry::owned_shard::service, &entry::owned_shard::epoch, &entry::owned_shard::generation};
--- a/tests/hawthornstall/entry/dispatcher_test.cpp
+++ b/tests/hawthornstall/entry/dispatcher_test.cpp
@@ -34,8 +34,8 @@
 }
 
 /// Three hosts and four targets of four slots, once ownership is settled.
-zone_harness make_zone() {
-    zone_harness zone{3, make_document()};
+zone_harness make_zone(const core::service_document& document = make_document()) {
+    zone_harness zone{3, document};
     for (const auto* const name : {"t1", "t2", "t3", "t4"}) {
         zone.add_target(name, 4);
     }
@@ -183,6 +183,57 @@
     }
 }
 
+/// Isolates the owner while a caller still reaches it, and lets another host take over.
+struct isolation_case {
+    std::string_view name;
+    void (*isolate)(zone_harness&, const std::string& owner);
+    void (*restore)(zone_harness&, const std::string& owner);
+};
+
+const std::array isolation_cases{
+    isolation_case{"cut off", [](auto& zone, const auto& owner) { zone.cut(owner, true); },
+                   [](auto& zone, const auto& owner) {
+                       zone.cut(owner, false);
+                   }},
+    isolation_case{"paused", [](auto& zone, const auto& owner) { zone.pause(owner); },
+                   [](auto& zone, const auto& owner) {
+                       zone.resume(owner);
+                   }},
+};
+
+// Guards against an owner that starts tasks although another host has taken over, and against one
+// that says "not run" about work that the new owner has started.
+TEST_CASE("an isolated owner starts nothing and refuses nothing dishonestly") {
+    for (const auto& isolation : isolation_cases) {
+        for (const std::uint32_t queue_limit : {100'000U, 25U}) {
+            CAPTURE(isolation.name);
+            CAPTURE(queue_limit);
+            auto document = make_document();
+            document.quota.max_queued_tasks = queue_limit;
+            auto zone = make_zone(document);
+            const auto owner = zone.owner("h1");
+            const auto entry = other_host(owner);
+            auto job = make_job(20, false, "job");
+            job.id = zone.make_id(owner, "order-1");
+            isolation.isolate(zone, owner);
+            // Fills the queue of the isolated owner, so that it would refuse the next job.
+            zone.call(owner, make_job(20, false, "filler"));
+            zone.call(owner, job);
+            zone.run_for(core::duration_ms{4000});
+            zone.call(entry, job);
+            zone.run_for(core::duration_ms{3000});
+            isolation.restore(zone, owner);
+            zone.run_for(core::duration_ms{10'000});
+            const auto found = testing::violations(zone.starts(), zone.calls());
+            for (const auto& violation : found) {
+                MESSAGE(violation);
+            }
+            CHECK(found.empty());
+            CHECK(zone.calls().back().answers.front().outcome == outcome_class::answered);
+        }
+    }
+}
+
 // Guards against work on a target that said it is leaving, or that is silent beyond its lease.
 TEST_CASE("a leaving or silent target gets no new work") {
     struct leave_case {
@@ -192,7 +243,7 @@
     };
     const std::array cases{
         leave_case{"leaving", [](auto& zone) { zone.leave("t1"); }, core::duration_ms{10}},
-        leave_case{"silent", [](auto& zone) { zone.set_mood("t1", testing::target_mood::dead); },
+        leave_case{"silent", [](auto& zone) { zone.set_mood("t1", testing::target_mood::silent); },
                    core::duration_ms{3000}},
     };
     for (const auto& test : cases) {
--- a/tests/hawthornstall/entry/zone_harness.cpp
+++ b/tests/hawthornstall/entry/zone_harness.cpp
@@ -41,7 +41,8 @@
     host.alive = true;
     dispatcher_options options;
     options.self = {name, std::string{zone}, 1.0};
-    options.incarnation = static_cast<std::uint64_t>(core::to_count(now_)) + host.life;
+    host.incarnation = static_cast<std::uint64_t>(core::to_count(now_)) + host.life;
+    options.incarnation = host.incarnation;
     for (const auto& other : names_) {
         if (other != name) {
             options.others.push_back({other, std::string{zone}, 1.0});
@@ -134,7 +135,7 @@
 
 void zone_harness::announce_all() {
     for (auto& [name, target] : targets_) {
-        if (target.mood == target_mood::dead) {
+        if (target.mood == target_mood::dead || target.mood == target_mood::silent) {
             continue;
         }
         ++target.news.sequence;
@@ -233,9 +234,10 @@
 void zone_harness::send(const std::string& from, const outgoing_message& out) {
     const auto* const content = std::get_if<peer_message>(&out.content);
     if (content != nullptr && linked(from, out.peer)) {
-        schedule(now_ + link_delay, out.peer, [from, content = *content] {
-            return incoming_message{from, 1, content};
-        });
+        schedule(now_ + link_delay, out.peer,
+                 [from, incarnation = hosts_.at(from).incarnation, content = *content] {
+                     return incoming_message{from, incarnation, content};
+                 });
     }
 }
 
--- a/tests/hawthornstall/entry/zone_harness.hpp
+++ b/tests/hawthornstall/entry/zone_harness.hpp
@@ -33,7 +33,12 @@
 };
 
 /// How a target treats its tasks.
-enum class target_mood : std::uint8_t { normal, failing, dead };
+enum class target_mood : std::uint8_t {
+    normal,
+    failing, ///< Fails every task at once.
+    silent,  ///< Runs tasks but does not renew its lease.
+    dead,    ///< Refuses connections and announces nothing.
+};
 
 class zone_harness {
 public:
@@ -78,6 +83,7 @@
     struct host_state {
         std::unique_ptr<dispatcher> logic;
         std::uint64_t life = 0; ///< Events of an earlier life are dropped.
+        std::uint64_t incarnation = 0;
         bool alive = true;
         bool paused = false;
         bool cut = false;
