--- /dev/null
+++ b/bench/scheduling_bench.cpp
@@ -0,0 +1,129 @@
+/// Cost per decision and memory per queued task and per target, with 50, 500 and 5,000 targets.
+
+#include "hawthornstall/scheduling/scheduler.hpp"
+#include "hawthornstall/scheduling/slot_capacity.hpp"
+
+#include <benchmark/benchmark.h>
+
+#include <malloc.h>
+#include <string>
+#include <vector>
+
+namespace hawthornstall::scheduling {
+namespace {
+
+using product = scheduler<fewest_remaining, slot_capacity>;
+
+constexpr core::duration_ms run_time{300};
+constexpr core::duration_ms deadline{60'000};
+constexpr std::uint32_t slots_per_target = 8;
+
+std::vector<target_id> add_targets(product& subject, std::int64_t count) {
+    std::vector<target_id> targets;
+    for (std::int64_t index = 0; index < count; ++index) {
+        targets.push_back(subject.set_target("target-" + std::to_string(index),
+                                             {.slots = slots_per_target}, true));
+    }
+    return targets;
+}
+
+void submit(product& subject, std::uint64_t id, std::size_t tasks, core::time_ms now) {
+    const std::vector<core::duration_ms> declared(tasks, run_time);
+    subject.submit(static_cast<job_id>(id),
+                   {.team = "team-" + std::to_string(id % 45),
+                    .idempotent = true,
+                    .deadline = now + deadline,
+                    .declared_run_times = declared},
+                   now);
+}
+
+/// Bytes that the process has allocated.
+std::size_t allocated_bytes() {
+    return mallinfo2().uordblks;
+}
+
+/// One task through its whole life: submitted in jobs of 10, started, sent, answered, with all
+/// slots busy and a queue of two tasks per slot, so that each answer starts one task.
+void decide_per_task(benchmark::State& state) {
+    product subject{core::service_document{}};
+    add_targets(subject, state.range(0));
+    core::time_ms now = core::from_count(0);
+    decisions out;
+    std::vector<start_decision> running;
+    std::uint64_t next_job = 0;
+    constexpr std::size_t job_size = 10;
+    const auto queue_length = static_cast<std::uint64_t>(state.range(0)) * slots_per_target * 2;
+    std::size_t position = 0;
+    for (auto _ : state) {
+        now += core::duration_ms{state.iterations() % 2};
+        if (subject.queued_tasks() < queue_length) {
+            submit(subject, next_job++, job_size, now);
+        }
+        subject.decide(now, out);
+        for (const auto& start : out.starts) {
+            subject.sent(start.attempt, now);
+        }
+        running.insert(running.end(), out.starts.begin(), out.starts.end());
+        if (!running.empty()) {
+            position = (position + 7919) % running.size();
+            subject.finished(running[position].attempt, attempt_result::answered, now);
+            running[position] = running.back();
+            running.pop_back();
+        }
+    }
+    state.SetItemsProcessed(state.iterations());
+    state.counters["queued"] = static_cast<double>(subject.queued_tasks());
+}
+BENCHMARK(decide_per_task)->Arg(50)->Arg(500)->Arg(5'000);
+
+void cancel_per_queued_task(benchmark::State& state) {
+    product subject{core::service_document{}};
+    const core::time_ms now = core::from_count(0);
+    const auto tasks = static_cast<std::size_t>(state.range(0));
+    decisions out;
+    std::uint64_t id = 0;
+    for (auto _ : state) {
+        state.PauseTiming();
+        submit(subject, id, tasks, now);
+        state.ResumeTiming();
+        subject.cancel(static_cast<job_id>(id++));
+        state.PauseTiming();
+        subject.decide(now, out);
+        state.ResumeTiming();
+    }
+}
+BENCHMARK(cancel_per_queued_task)->Arg(1)->Arg(690);
+
+void memory_per_target(benchmark::State& state) {
+    double bytes = 0.0;
+    for (auto _ : state) {
+        const auto before = allocated_bytes();
+        product subject{core::service_document{}};
+        add_targets(subject, state.range(0));
+        bytes =
+            static_cast<double>(allocated_bytes() - before) / static_cast<double>(state.range(0));
+    }
+    state.counters["bytes_per_target"] = bytes;
+}
+BENCHMARK(memory_per_target)->Arg(50)->Arg(500)->Arg(5'000)->Iterations(1);
+
+void memory_per_queued_task(benchmark::State& state) {
+    constexpr std::size_t queued = 69'000;
+    const auto job_size = static_cast<std::size_t>(state.range(0));
+    double bytes = 0.0;
+    for (auto _ : state) {
+        product subject{core::service_document{}};
+        const auto before = allocated_bytes();
+        for (std::size_t job = 0; job < queued / job_size; ++job) {
+            submit(subject, job, job_size, core::from_count(0));
+        }
+        bytes = static_cast<double>(allocated_bytes() - before) / queued;
+    }
+    state.counters["bytes_per_task"] = bytes;
+}
+BENCHMARK(memory_per_queued_task)->Arg(1)->Arg(10)->Arg(690)->Iterations(1);
+
+} // namespace
+} // namespace hawthornstall::scheduling
+
+BENCHMARK_MAIN();
