--- a/src/hawthornstall/control/consensus_node.hpp
+++ b/src/hawthornstall/control/consensus_node.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <span>
 #include <utility>
 #include <vector>
@@ -36,6 +37,10 @@
     lost,      ///< The leader changed; ask the new one.
 };
 
+/// A cluster is founded by the first of `settings.hosts` once all of them, including itself, are
+/// new members without a cluster. A host whose folder is emptied later therefore never founds a
+/// second cluster while another host still has the first one.
+///
 /// Inputs are collected by receive(), tick() and propose(); finish() syncs what they wrote, once,
 /// and only then hands out the messages that depend on it.
 template <log_storage Storage> class consensus_node {
@@ -88,6 +93,7 @@
     log_position append_own(entry_payload payload);
     void lead_if_elected(core::time_ms now);
     void ask_to_join(core::time_ms now);
+    void found_cluster(core::time_ms now);
     [[nodiscard]] bool may_change_members() const;
     void change_members(core::time_ms now);
     void make_durable();
@@ -108,6 +114,7 @@
     join_queue joins_;
     member_set members_;
     std::uint64_t cluster_;
+    std::mt19937_64 random_;
     std::uint64_t commit_;
     std::uint64_t handed_out_;
     std::optional<std::uint64_t> leading_term_;
@@ -119,18 +126,19 @@
     node_effects effects_;
 };
 
-/// Makes `storage`, which must be fresh, the only voter of the new cluster `cluster`.
+/// Makes `storage`, which must be that of a new member, the only voter of the cluster `cluster`.
 template <log_storage Storage>
 [[nodiscard]] absl::Status create_cluster(Storage& storage, std::uint64_t cluster) {
     auto state = storage.state();
     state.cluster = cluster;
     state.term = 1;
-    if (auto saved = storage.save_state(state); !saved.ok()) {
-        return saved;
-    }
-    return storage.install({.position = {.term = 1, .index = 1},
-                            .members = {.voters = {state.self}, .learners = {}},
-                            .state = {}});
+    // The snapshot comes first: a crash in between leaves a member without a cluster, which founds
+    // it again.
+    auto installed = storage.install({.position = {.term = 1, .index = 1},
+                                      .members = {.voters = {state.self}, .learners = {}},
+                                      .state = {}});
+    installed.Update(storage.save_state(state));
+    return installed;
 }
 
 } // namespace hawthornstall::control
--- a/src/hawthornstall/control/consensus_settings.hpp
+++ b/src/hawthornstall/control/consensus_settings.hpp
@@ -12,7 +12,7 @@
 
 /// Settings of one member. All members of a cluster use the same ones.
 struct consensus_settings {
-    std::vector<std::string> hosts;         ///< Control hosts that may join.
+    std::vector<std::string> hosts;         ///< Control hosts that may join, and found a cluster.
     core::duration_ms heartbeat_every{200}; ///< Five are lost before an election starts.
     /// A follower waits for this long, plus a random part of the same length, before an election.
     core::duration_ms election_timeout{1'000};
--- /dev/null
+++ b/src/hawthornstall/control/control_service.hpp
@@ -0,0 +1,242 @@
+#pragma once
+
+/// Decisions of one control host: answers entry hosts from its replica or through the leader.
+
+#include "hawthornstall/control/config_replica.hpp"
+#include "hawthornstall/control/control_messages.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace hawthornstall::control {
+
+/// Interval of digests to each subscriber.
+constexpr core::duration_ms digest_interval{1'000};
+
+/// No digest is sent while the state is unconfirmed for longer than this, so that subscribers turn
+/// to another control host. It exceeds the election timeout, within which a leader without a
+/// quorum steps down.
+constexpr core::duration_ms max_digest_age{2'000};
+
+struct to_control_host {
+    std::string host;
+    control_to_control message;
+};
+
+struct to_entry_host {
+    std::string host;
+    control_to_entry message;
+};
+
+/// Messages to send, in order.
+struct service_output {
+    std::vector<to_control_host> to_control;
+    std::vector<to_entry_host> to_entry;
+};
+
+/// Pure apart from the storage. Inputs are collected; finish() makes them durable and answers.
+/// The number of subscribers and waiting requests is bounded by the callers, which name known
+/// hosts only, and by the time that entry hosts wait.
+template <log_storage Storage> class control_service {
+public:
+    explicit control_service(config_replica<Storage> replica) : replica_(std::move(replica)) {}
+
+    void receive_from_control(std::string_view host, control_to_control message,
+                              core::time_ms now) {
+        std::visit([&](auto& content) { handle_control(host, std::move(content), now); }, message);
+    }
+
+    void receive_from_entry(std::string_view host, entry_to_control message, core::time_ms now) {
+        std::visit([&](auto& content) { handle_entry(host, std::move(content), now); }, message);
+    }
+
+    /// A subscriber that cannot be reached subscribes again when it returns.
+    void entry_unreachable(std::string_view host) { subscribers_.erase(std::string{host}); }
+
+    void tick(core::time_ms now) {
+        replica_.tick(now);
+        if (now >= next_digest_) {
+            next_digest_ = now + digest_interval;
+            digest_due_ = true;
+        }
+    }
+
+    /// After an error the service must stop.
+    [[nodiscard]] absl::StatusOr<service_output> finish(core::time_ms now) {
+        auto replicated = replica_.finish(now);
+        if (!replicated.ok()) {
+            return replicated.status();
+        }
+        for (auto& message : replicated->messages) {
+            auto host = message.to.host;
+            output_.to_control.push_back({std::move(host), std::move(message)});
+        }
+        for (const auto& edit : replicated->edits) {
+            answer(edit);
+        }
+        answer_reads();
+        if (replicated->documents_changed) {
+            push_deltas();
+        }
+        if (std::exchange(digest_due_, false)) {
+            push_digests(now);
+        }
+        return std::exchange(output_, {});
+    }
+
+    [[nodiscard]] const config_replica<Storage>& replica() const noexcept { return replica_; }
+
+private:
+    /// Who waits for a reply; `via` is the control host that forwarded the request.
+    struct requester {
+        std::string entry_host;
+        std::optional<std::string> via;
+    };
+
+    struct waiting_edit {
+        requester from;
+        std::uint64_t number = 0;
+    };
+
+    struct waiting_read {
+        requester from;
+        audit_request request;
+        read_ticket ticket;
+    };
+
+    void handle_control(std::string_view /*host*/, peer_message message, core::time_ms now) {
+        replica_.receive(message, now);
+    }
+
+    void handle_control(std::string_view host, forwarded_request message, core::time_ms now) {
+        requester from{std::move(message.entry_host), std::string{host}};
+        std::visit([&](auto& request) { serve(std::move(from), std::move(request), now); },
+                   message.request);
+    }
+
+    void handle_control(std::string_view /*host*/, forwarded_reply message, core::time_ms /*now*/) {
+        reply({.entry_host = std::move(message.entry_host), .via = std::nullopt},
+              std::move(message.reply));
+    }
+
+    void handle_entry(std::string_view host, config_subscribe message, core::time_ms /*now*/) {
+        subscribers_[std::string{host}] = message.revision;
+        push_delta(std::string{host}, subscribers_[std::string{host}]);
+    }
+
+    template <class Request>
+    void handle_entry(std::string_view host, Request request, core::time_ms now) {
+        serve({.entry_host = std::string{host}, .via = std::nullopt}, std::move(request), now);
+    }
+
+    /// Answers as the leader, or passes the request on to it once.
+    template <class Request> void serve(requester from, Request request, core::time_ms now) {
+        const auto& leader = replica_.node().vote_state().leader();
+        if (replica_.node().is_leader()) {
+            start(std::move(from), std::move(request), now);
+        } else if (leader && !from.via) {
+            output_.to_control.push_back(
+                {leader->host, forwarded_request{std::move(from.entry_host), std::move(request)}});
+        } else {
+            refuse(from, request);
+        }
+    }
+
+    void start(requester from, edit_request request, core::time_ms /*now*/) {
+        const auto token = ++last_token_;
+        if (replica_.submit(std::move(request.edit), token)) {
+            edits_[token] = {std::move(from), request.number};
+        }
+    }
+
+    void start(requester from, audit_request request, core::time_ms now) {
+        if (const auto ticket = replica_.node().start_read(now)) {
+            reads_.push_back({std::move(from), request, *ticket});
+        }
+    }
+
+    void refuse(const requester& from, const edit_request& request) {
+        reply(from, edit_reply{.number = request.number, .answer = std::nullopt});
+    }
+
+    /// An audit request has no undecided answer; the entry host asks again.
+    void refuse(const requester& /*from*/, const audit_request& /*request*/) {}
+
+    void reply(const requester& to, std::variant<edit_reply, audit_reply> content) {
+        if (to.via) {
+            output_.to_control.push_back(
+                {*to.via, forwarded_reply{to.entry_host, std::move(content)}});
+            return;
+        }
+        std::visit(
+            [&](auto& message) {
+                output_.to_entry.push_back({to.entry_host, std::move(message)});
+            },
+            content);
+    }
+
+    void answer(const submitted_edit& edit) {
+        const auto found = edits_.find(edit.token);
+        if (found != edits_.end()) {
+            reply(found->second.from,
+                  edit_reply{.number = found->second.number, .answer = edit.answer});
+            edits_.erase(found);
+        }
+    }
+
+    void answer_reads() {
+        std::erase_if(reads_, [&](const waiting_read& read) {
+            const auto state = replica_.node().check(read.ticket);
+            if (state == read_state::confirmed) {
+                const auto records =
+                    replica_.store().audit_after(read.request.after_revision, read.request.limit);
+                reply(read.from, audit_reply{.number = read.request.number,
+                                             .records = {records.begin(), records.end()}});
+            }
+            return state != read_state::waiting;
+        });
+    }
+
+    void push_delta(const std::string& host, std::uint64_t& revision) {
+        auto delta = replica_.store().delta_after(revision);
+        // A replica that lags behind the subscriber has nothing for it.
+        if (delta.to_revision >= revision) {
+            revision = delta.to_revision;
+            output_.to_entry.push_back({host, std::move(delta)});
+        }
+    }
+
+    void push_deltas() {
+        for (auto& [host, revision] : subscribers_) {
+            if (revision < replica_.store().revision()) {
+                push_delta(host, revision);
+            }
+        }
+    }
+
+    void push_digests(core::time_ms now) {
+        const auto digest = replica_.digest(now);
+        if (!digest || digest->confirmation_age > max_digest_age) {
+            return;
+        }
+        for (const auto& [host, revision] : subscribers_) {
+            output_.to_entry.push_back({host, *digest});
+        }
+    }
+
+    config_replica<Storage> replica_;
+    std::map<std::string, std::uint64_t> subscribers_; ///< Revision sent, by entry host.
+    std::map<std::uint64_t, waiting_edit> edits_;      ///< By token.
+    std::vector<waiting_read> reads_;
+    std::uint64_t last_token_ = 0;
+    core::time_ms next_digest_{};
+    bool digest_due_ = false;
+    service_output output_;
+};
+
+} // namespace hawthornstall::control
--- a/src/hawthornstall/control/detail/consensus_node_impl.hpp
+++ b/src/hawthornstall/control/detail/consensus_node_impl.hpp
@@ -15,7 +15,7 @@
     : storage_(std::move(storage)), settings_(std::move(settings)),
       election_(storage_.state(), settings_.election_timeout, seed, now),
       members_(storage_.log().members_at(storage_.log().last().index)),
-      cluster_(storage_.state().cluster), commit_(storage_.log().base().index),
+      cluster_(storage_.state().cluster), random_(seed), commit_(storage_.log().base().index),
       handed_out_(commit_), heartbeat_at_(now), join_at_(now) {}
 
 template <log_storage Storage>
@@ -55,6 +55,7 @@
             election_.step_down(now);
         }
     }
+    found_cluster(now);
     ask_to_join(now);
 }
 
--- a/src/hawthornstall/control/detail/consensus_node_leader.hpp
+++ b/src/hawthornstall/control/detail/consensus_node_leader.hpp
@@ -9,6 +9,9 @@
 
 namespace hawthornstall::control {
 
+/// A join request counts for this many times the interval at which it is repeated.
+constexpr int kept_join_requests = 5;
+
 template <log_storage Storage>
 void consensus_node<Storage>::append(std::span<const log_entry> entries) {
     note(storage_.append(entries));
@@ -55,6 +58,28 @@
     }
 }
 
+template <log_storage Storage> void consensus_node<Storage>::found_cluster(core::time_ms now) {
+    const auto& hosts = settings_.hosts;
+    if (cluster_ != 0 || !failure_.ok() || hosts.empty() ||
+        *std::ranges::min_element(hosts) != self().host) {
+        return;
+    }
+    // While this member has no cluster, it takes join requests only from others that have none.
+    const auto waiting = joins_.waiting(now, kept_join_requests * settings_.join_every);
+    const bool all_are_new = std::ranges::all_of(hosts, [&](const std::string& host) {
+        return host == self().host ||
+               std::ranges::find(waiting, host, &member_id::host) != waiting.end();
+    });
+    if (!all_are_new) {
+        return;
+    }
+    note(create_cluster(storage_, std::max<std::uint64_t>(random_(), 1)));
+    cluster_ = storage_.state().cluster;
+    members_ = storage_.log().members_at(storage_.log().last().index);
+    commit_ = handed_out_ = storage_.log().base().index;
+    election_.observe_term(storage_.state().term);
+}
+
 template <log_storage Storage> bool consensus_node<Storage>::may_change_members() const {
     // Without a committed entry of its own term, two leaders could each hold an uncommitted change
     // and form quorums that do not overlap.
@@ -66,8 +91,7 @@
     if (!may_change_members()) {
         return;
     }
-    constexpr int kept_requests = 5;
-    const auto joining = joins_.waiting(now, kept_requests * settings_.join_every);
+    const auto joining = joins_.waiting(now, kept_join_requests * settings_.join_every);
     std::vector<member_id> caught_up;
     for (const auto& learner : members_.learners) {
         const auto* const progress = progress_.find(learner);
--- a/src/hawthornstall/control/file_storage.cpp
+++ b/src/hawthornstall/control/file_storage.cpp
@@ -246,7 +246,10 @@
                                     {.step = "create_folder", .peer = {}},
                                     folder + ": " + error.message());
         }
-        return sync_folder(parent);
+        const auto above = std::filesystem::absolute(parent).parent_path().string();
+        auto synced = sync_folder(parent);
+        synced.Update(sync_folder(above));
+        return synced;
     };
     if (auto created = create_folder(); !created.ok()) {
         return created;
--- /dev/null
+++ b/src/programs/controld/main.cpp
@@ -0,0 +1,132 @@
+/// hawthornstall-controld: one control host.
+
+#include "hawthornstall/control/control_logic.hpp"
+#include "hawthornstall/core/error.hpp"
+#include "hawthornstall/runtime/loop_task.hpp"
+#include "hawthornstall/runtime/signal_wait.hpp"
+#include "hawthornstall/settings/control_settings.hpp"
+#include "hawthornstall/telemetry/log_output.hpp"
+#include "hawthornstall/telemetry/logger.hpp"
+
+#include <gflags/gflags.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <memory>
+#include <unistd.h>
+
+DEFINE_string(settings, "", "path of the JSON settings file");
+DEFINE_bool(check_settings, false, "check the settings file and exit");
+
+namespace {
+
+namespace control = hawthornstall::control;
+namespace core = hawthornstall::core;
+namespace net = hawthornstall::net;
+namespace settings = hawthornstall::settings;
+namespace telemetry = hawthornstall::telemetry;
+
+net::peer_endpoint to_endpoint(const settings::host_entry& host) {
+    return {.name = host.name, .address = settings::to_string(host.peer_address)};
+}
+
+control::control_options make_options(const settings::control_settings& settings) {
+    control::control_options options;
+    options.self = {.name = settings.name,
+                    .incarnation =
+                        static_cast<std::uint64_t>(core::to_count(core::ms_clock::wall_now())),
+                    .listen_address = settings::to_string(settings.peer_address)};
+    for (const auto& voter : settings.voters) {
+        options.consensus.hosts.push_back(voter.name);
+        if (voter.name != settings.name) {
+            options.control_hosts.push_back(to_endpoint(voter));
+        }
+    }
+    for (const auto& host : settings.entry_hosts) {
+        options.entry_hosts.push_back(to_endpoint(host));
+    }
+    options.data_folder = settings.data_folder;
+    return options;
+}
+
+/// Logs the events of the loop task; a failure of the storage also ends the process.
+class event_log {
+public:
+    explicit event_log(telemetry::log_output& output) : log_(output) {}
+
+    void operator()(const control::control_event& event) {
+        using kind = control::control_event::kind;
+        switch (event.what) {
+        case kind::folder_damaged:
+            log_.write({.level = core::log_level::error, .name = "data_folder_damaged"},
+                       {{"moved_to", std::string_view{event.detail}}});
+            break;
+        case kind::role_changed:
+            log_.write({.name = "role_changed"}, {{"role", std::string_view{event.detail}}});
+            break;
+        case kind::peer_reachable:
+            log_.write({.name = "peer_reachable", .peer = event.detail});
+            break;
+        case kind::peer_unreachable:
+            log_.write({.level = core::log_level::warning,
+                        .name = "peer_unreachable",
+                        .peer = event.detail});
+            break;
+        case kind::failed:
+            log_.write({.level = core::log_level::error, .name = "storage_failed"},
+                       {{"error", std::string_view{event.detail}}});
+            failed = true;
+            kill(getpid(), SIGTERM);
+            break;
+        }
+    }
+
+    static inline std::atomic<bool> failed = false;
+
+private:
+    telemetry::logger log_;
+};
+
+int run(const settings::control_settings& settings) {
+    telemetry::log_output output{telemetry::standard_error(), settings.level};
+    telemetry::logger log{output};
+    const auto events = std::make_shared<event_log>(output);
+    const auto inbox = hawthornstall::runtime::make_mailbox<control::control_logic::message>(1);
+    hawthornstall::runtime::loop_task<control::control_logic> task{
+        inbox, make_options(settings),
+        control::control_logic::observer{[events](const control::control_event& event) {
+            (*events)(event);
+        }}};
+    log.write({.name = "control_host_started", .peer = settings.name});
+    hawthornstall::runtime::wait_for_termination_signal();
+    task.stop();
+    log.write({.name = "shutdown_finished", .peer = settings.name});
+    return event_log::failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    gflags::SetUsageMessage(
+        "serves one control host; usage: hawthornstall-controld --settings FILE");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    try {
+        const auto loaded = settings::load_control_settings(FLAGS_settings);
+        if (!loaded.ok()) {
+            std::cerr << core::describe(loaded.status()) << '\n';
+            return 2;
+        }
+        if (FLAGS_check_settings) {
+            std::cout << "settings are valid\n";
+            return EXIT_SUCCESS;
+        }
+        hawthornstall::runtime::block_termination_signals();
+        return run(*loaded);
+    } catch (const std::exception& error) {
+        std::cerr << "hawthornstall-controld: " << error.what() << '\n';
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/tests/hawthornstall/control/consensus_node_test.cpp
@@ -0,0 +1,170 @@
+#include "hawthornstall/control/consensus_node.hpp"
+#include "hawthornstall/control/memory_storage.hpp"
+#include "hawthornstall/control/sample_edits.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::control {
+namespace {
+
+/// Members on a network without loss, of which single members can be cut off.
+class small_cluster {
+public:
+    explicit small_cluster(std::size_t count) {
+        consensus_settings settings;
+        for (std::size_t index = 0; index < count; ++index) {
+            settings.hosts.push_back("control-" + std::to_string(index));
+        }
+        settings.compact_after_entries = 4;
+        for (std::size_t index = 0; index < count; ++index) {
+            auto disk = std::make_shared<simulated_disk>();
+            disk->state.self = {.host = settings.hosts[index], .disk = index + 1};
+            nodes.emplace_back(memory_storage{disk}, settings, index + 1, now);
+        }
+        cut_off.resize(count);
+    }
+
+    void run_for(core::duration_ms duration) {
+        constexpr core::duration_ms step{10};
+        for (const auto end = now + duration; now < end; now += step) {
+            const auto arrived = std::exchange(network, {});
+            for (const auto& message : arrived) {
+                const auto target = index_of(message.to.host);
+                if (!cut_off[target] && !cut_off[index_of(message.from.host)]) {
+                    nodes[target].receive(message, now);
+                }
+            }
+            for (auto& node : nodes) {
+                node.tick(now);
+                auto effects = node.finish(now);
+                REQUIRE(effects.ok());
+                std::ranges::move(effects->messages, std::back_inserter(network));
+            }
+        }
+    }
+
+    [[nodiscard]] std::size_t leader() const {
+        std::size_t best = nodes.size();
+        for (std::size_t index = 0; index < nodes.size(); ++index) {
+            if (nodes[index].is_leader() && !cut_off[index]) {
+                best = index;
+            }
+        }
+        REQUIRE(best < nodes.size());
+        return best;
+    }
+
+    static std::size_t index_of(std::string_view host) {
+        return static_cast<std::size_t>(host.back() - '0');
+    }
+
+    core::time_ms now = core::from_count(1'000'000);
+    std::vector<consensus_node<memory_storage>> nodes;
+    std::vector<bool> cut_off;
+    std::vector<peer_message> network;
+};
+
+constexpr core::duration_ms join_time{8'000};
+constexpr core::duration_ms round_trip{60};
+
+struct size_case {
+    std::size_t hosts;
+    std::size_t lost; ///< Hosts cut off after the start.
+    bool elects;      ///< Whether the others still commit.
+};
+
+// Guards against a cluster that needs more or fewer hosts than a majority of its voters.
+TEST_CASE("a majority of the voters commits") {
+    constexpr std::array cases{size_case{1, 0, true}, size_case{3, 1, true}, size_case{3, 2, false},
+                               size_case{5, 2, true}, size_case{5, 3, false}};
+    for (const auto& test : cases) {
+        CAPTURE(test.hosts);
+        CAPTURE(test.lost);
+        small_cluster cluster{test.hosts};
+        cluster.run_for(join_time + test.hosts * core::duration_ms{1'000});
+        CHECK(cluster.nodes[cluster.leader()].members().voters.size() == test.hosts);
+        for (std::size_t lost = 0; lost < test.lost; ++lost) {
+            cluster.cut_off[lost] = true;
+        }
+        cluster.run_for(core::duration_ms{6'000});
+        const bool leads =
+            std::ranges::any_of(cluster.nodes, [](const auto& node) { return node.is_leader(); });
+        CHECK(leads == test.elects);
+        if (test.elects) {
+            auto& leader = cluster.nodes[cluster.leader()];
+            const auto position = leader.propose(make_edit("e", 0));
+            REQUIRE(position.has_value());
+            cluster.run_for(2 * round_trip);
+            CHECK(leader.commit_index() >= position->index);
+        }
+    }
+}
+
+// Guards against a cut-off leader that serves old state as current, or that deposes its successor
+// when it returns.
+TEST_CASE("a cut-off leader confirms no reads and returns without an election") {
+    small_cluster cluster{3};
+    cluster.run_for(join_time);
+    const auto old = cluster.leader();
+    const auto confirmed = cluster.nodes[old].start_read(cluster.now);
+    REQUIRE(confirmed.has_value());
+    CHECK(cluster.nodes[old].check(*confirmed) == read_state::waiting);
+    cluster.run_for(round_trip);
+    CHECK(cluster.nodes[old].check(*confirmed) == read_state::confirmed);
+
+    cluster.cut_off[old] = true;
+    const auto unconfirmed = cluster.nodes[old].start_read(cluster.now);
+    REQUIRE(unconfirmed.has_value());
+    cluster.run_for(core::duration_ms{900});
+    CHECK(cluster.nodes[old].check(*unconfirmed) == read_state::waiting);
+    cluster.run_for(core::duration_ms{30'000});
+    CHECK(cluster.nodes[old].check(*unconfirmed) == read_state::lost);
+    CHECK_FALSE(cluster.nodes[old].propose(make_edit("e", 0)).has_value());
+
+    const auto next = cluster.leader();
+    const auto term = cluster.nodes[next].vote_state().term();
+    cluster.cut_off[old] = false;
+    cluster.run_for(core::duration_ms{5'000});
+    CHECK(cluster.leader() == next);
+    CHECK(cluster.nodes[next].vote_state().term() == term);
+    CHECK(cluster.nodes[old].vote_state().term() == term);
+}
+
+// Guards against a member that was away during a compaction and can never catch up, and against a
+// removed member that still counts.
+TEST_CASE("a lagging member gets the snapshot and a removed one is left out") {
+    small_cluster cluster{3};
+    cluster.run_for(join_time);
+    const auto leader = cluster.leader();
+    const auto away = (leader + 1) % 3;
+    cluster.cut_off[away] = true;
+    for (int count = 0; count < 10; ++count) {
+        CHECK(cluster.nodes[leader].propose(make_edit(std::to_string(count), 0)).has_value());
+    }
+    cluster.run_for(2 * round_trip);
+    const auto commit = cluster.nodes[leader].commit_index();
+    store_snapshot state;
+    state.revision = 5;
+    cluster.nodes[leader].compact(commit, state);
+    CHECK(cluster.nodes[leader].storage().log().base().index == commit);
+    cluster.cut_off[away] = false;
+    cluster.run_for(core::duration_ms{2'000});
+    CHECK(cluster.nodes[away].storage().load_snapshot()->state.revision == 5);
+    CHECK(cluster.nodes[away].commit_index() >= commit);
+
+    const auto removed = cluster.nodes[away].storage().state().self;
+    cluster.cut_off[away] = true;
+    CHECK(cluster.nodes[leader].remove(removed));
+    CHECK_FALSE(cluster.nodes[leader].remove(removed));
+    cluster.run_for(2 * round_trip);
+    CHECK(cluster.nodes[leader].members().voters.size() == 2);
+}
+
+} // namespace
+} // namespace hawthornstall::control
--- /dev/null
+++ b/tests/hawthornstall/control/control_service_test.cpp
@@ -0,0 +1,164 @@
+#include "hawthornstall/control/applied_documents.hpp"
+#include "hawthornstall/control/control_service.hpp"
+#include "hawthornstall/control/memory_storage.hpp"
+#include "hawthornstall/control/sample_edits.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::control {
+namespace {
+
+/// Three control hosts and one entry host on a network with 10 ms per hop.
+class service_cluster {
+public:
+    service_cluster() {
+        consensus_settings settings;
+        settings.hosts = {"control-0", "control-1", "control-2"};
+        for (const auto& host : settings.hosts) {
+            auto disk = std::make_shared<simulated_disk>();
+            disk->state.self = {.host = host, .disk = services.size() + 1};
+            auto replica = config_replica<memory_storage>::open(memory_storage{disk}, settings,
+                                                                services.size() + 1, now);
+            REQUIRE(replica.ok());
+            services.emplace_back(std::move(*replica));
+        }
+        run_for(core::duration_ms{8'000});
+    }
+
+    void run_for(core::duration_ms duration) {
+        constexpr core::duration_ms step{10};
+        for (const auto end = now + duration; now < end; now += step) {
+            const auto arrived = std::exchange(network, {});
+            for (const auto& [from, message] : arrived) {
+                const auto target = index_of(message.host);
+                if (!cut_off[target] && !cut_off[from]) {
+                    services[target].receive_from_control("control-" + std::to_string(from),
+                                                          message.message, now);
+                }
+            }
+            for (std::size_t index = 0; index < services.size(); ++index) {
+                services[index].tick(now);
+                auto output = services[index].finish(now);
+                REQUIRE(output.ok());
+                for (auto& message : output->to_control) {
+                    network.emplace_back(index, std::move(message));
+                }
+                for (const auto& message : output->to_entry) {
+                    std::visit([&](const auto& content) { take(content); }, message.message);
+                }
+            }
+        }
+    }
+
+    void take(const config_delta& delta) {
+        if (!copy.apply(delta).empty()) {
+            applied_at = now;
+        }
+    }
+    void take(const config_digest& digest) {
+        ++digests;
+        last_check = copy.check(digest, now);
+    }
+    void take(const edit_reply& reply) { edits.push_back(reply); }
+    void take(const audit_reply& reply) { audits.push_back(reply); }
+
+    [[nodiscard]] std::size_t leader() const {
+        const auto found = std::ranges::find_if(
+            services, [](const auto& service) { return service.replica().node().is_leader(); });
+        REQUIRE(found != services.end());
+        return static_cast<std::size_t>(found - services.begin());
+    }
+
+    static std::size_t index_of(std::string_view host) {
+        return static_cast<std::size_t>(host.back() - '0');
+    }
+
+    core::time_ms now = core::from_count(1'000'000);
+    std::vector<control_service<memory_storage>> services;
+    std::array<bool, 3> cut_off{};
+    std::vector<std::pair<std::size_t, to_control_host>> network;
+    applied_documents copy;
+    core::time_ms applied_at{};
+    int digests = 0;
+    digest_outcome last_check = digest_outcome::differs;
+    std::vector<edit_reply> edits;
+    std::vector<audit_reply> audits;
+};
+
+struct route_case {
+    std::string_view name;
+    bool edit_at_leader;
+    bool subscribe_at_leader;
+};
+
+// Guards against edits that only the leader accepts, and against entry hosts that learn of an edit
+// only by the digest a second later.
+TEST_CASE("an edit through any control host reaches every subscriber at once") {
+    constexpr std::array cases{
+        route_case{"both at the leader", true, true}, route_case{"edit forwarded", false, true},
+        route_case{"subscribed to a follower", true, false}, route_case{"neither", false, false}};
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        service_cluster cluster;
+        const auto leader = cluster.leader();
+        const auto follower = (leader + 1) % 3;
+        cluster.services[test.subscribe_at_leader ? leader : follower].receive_from_entry(
+            "entry-1", config_subscribe{}, cluster.now);
+        cluster.run_for(core::duration_ms{20});
+        const auto sent = cluster.now;
+        auto& receiver = cluster.services[test.edit_at_leader ? leader : follower];
+        receiver.receive_from_entry("entry-1", edit_request{7, make_edit("e", 0)}, cluster.now);
+        cluster.run_for(core::duration_ms{100});
+        REQUIRE(cluster.edits.size() == 1);
+        CHECK(cluster.edits[0].number == 7);
+        CHECK(cluster.edits[0].answer == edit_answer{edit_result::accepted, 1});
+        CHECK(cluster.copy.revision() == 1);
+        MESSAGE(test.name << ": applied after " << (cluster.applied_at - sent).count() << " ms");
+        CHECK(cluster.applied_at - sent <= core::duration_ms{50});
+        cluster.run_for(core::duration_ms{1'000});
+        CHECK(cluster.last_check == digest_outcome::confirmed);
+
+        receiver.receive_from_entry("entry-1", audit_request{8, 0, 10}, cluster.now);
+        cluster.run_for(core::duration_ms{100});
+        REQUIRE(cluster.audits.size() == 1);
+        CHECK(cluster.audits[0].number == 8);
+        CHECK(cluster.audits[0].records.size() == 1);
+    }
+}
+
+// Guards against a cut-off control host that keeps its subscribers and answers them.
+TEST_CASE("a cut-off control host accepts nothing and sends no digests") {
+    for (const bool is_leader : {true, false}) {
+        CAPTURE(is_leader);
+        service_cluster cluster;
+        const auto index = is_leader ? cluster.leader() : (cluster.leader() + 1) % 3;
+        auto& service = cluster.services[index];
+        service.receive_from_entry("entry-1", config_subscribe{}, cluster.now);
+        cluster.run_for(core::duration_ms{1'500});
+        CHECK(cluster.digests > 0);
+        cluster.cut_off[index] = true;
+        service.receive_from_entry("entry-1", edit_request{1, make_edit("e", 0)}, cluster.now);
+        cluster.run_for(core::duration_ms{5'000});
+        service.receive_from_entry("entry-1", edit_request{2, make_edit("f", 0)}, cluster.now);
+        service.receive_from_entry("entry-1", audit_request{3, 0, 10}, cluster.now);
+        cluster.digests = 0;
+        cluster.run_for(core::duration_ms{5'000});
+        CHECK(cluster.digests == 0);
+        CHECK(cluster.audits.empty());
+        for (const auto& reply : cluster.edits) {
+            CHECK_FALSE(reply.answer.has_value());
+        }
+        CHECK(std::ranges::any_of(cluster.edits,
+                                  [](const edit_reply& reply) { return reply.number == 2; }));
+        CHECK(cluster.copy.may_be_stale(cluster.now));
+    }
+}
+
+} // namespace
+} // namespace hawthornstall::control
