--- a/src/hawthornstall/entry/front_logic.cpp
+++ b/src/hawthornstall/entry/front_logic.cpp
@@ -206,6 +206,11 @@
         answer_error(request.number, holder.status());
         return;
     }
+    if (holder->kind != settings::role::team) {
+        answer_error(request.number, core::make_error(absl::StatusCode::kPermissionDenied, origin,
+                                                      "only a team's token edits documents"));
+        return;
+    }
     const auto base = detail::parse_version(request.header("If-Match"));
     const auto edit_id = request.header("X-Edit-Id");
     if (!base || edit_id.empty()) {
