Write log lines from a loop task in place of the library's asynchronous sink

Cause: the thread sanitizer reported 6 data races in telemetry_test. Records were made by one thread and released by another inside libboost_log, whose reference counts the sanitizer does not see because the packaged library is not instrumented.

The output now is a loop task with a bounded mailbox: it owns the Boost.Log sink and the stream, and the other tasks send it lines. Records never leave its thread, and the queue and its overflow count are the project's own.

Ruled out: a suppression file, which would also hide real races behind the library, and a synchronous sink in the calling task, which would hold up an event loop.

Before: telemetry_test failed under the thread sanitizer with 6 warnings. After: it passes.

--- a/src/hawthornstall/telemetry/log_output.cpp
+++ b/src/hawthornstall/telemetry/log_output.cpp
@@ -1,9 +1,10 @@
 #include "hawthornstall/telemetry/log_output.hpp"
 
+#include "hawthornstall/runtime/loop_task.hpp"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/async_frontend.hpp>
-#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
@@ -12,67 +13,88 @@
 
 #include <atomic>
 #include <cstdio>
+#include <future>
 #include <iostream>
+#include <string>
+#include <utility>
+#include <variant>
 
 namespace hawthornstall::telemetry {
 namespace detail {
 
-/// The library makes the strategy a static part of the queue type, hence the static count.
-std::atomic<std::uint64_t>& overflow_counter() {
-    static std::atomic<std::uint64_t> count{0};
-    return count;
-}
+struct log_line {
+    core::log_level level = core::log_level::info;
+    std::string text;
+};
 
-/// Drops a record when the queue is full, as the library's drop_on_overflow does, and counts it.
-struct count_on_overflow {
-    template <class Lock>
-    static bool on_overflow(const boost::log::record_view& /*record*/, Lock& /*lock*/) {
-        ++overflow_counter();
-        return false;
-    }
-    static void on_queue_space_available() {}
-    static void interrupt() {}
+/// Answered once all lines before it are in the stream.
+struct flush_request {
+    std::promise<void> done;
 };
 
-using backend = boost::log::sinks::text_ostream_backend;
-using frontend = boost::log::sinks::asynchronous_sink<
-    backend, boost::log::sinks::bounded_fifo_queue<log_output::queue_capacity, count_on_overflow>>;
+/// Logic of the task that owns the Boost.Log sink and the stream.
+class line_writer {
+public:
+    using message = std::variant<log_line, flush_request>;
+
+    explicit line_writer(std::shared_ptr<std::ostream> stream) : stream_(std::move(stream)) {
+        const auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
+        // The writer outlives the sink, so the backend need not own the stream.
+        backend->add_stream({stream_.get(), [](std::ostream*) {
+                             }});
+        backend->auto_flush(true);
+        sink_ = boost::make_shared<sink>(backend);
+        sink_->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+        boost::log::core::get()->add_sink(sink_);
+    }
+
+    ~line_writer() {
+        try {
+            boost::log::core::get()->remove_sink(sink_);
+        } catch (...) {
+            // Nothing can be logged any more, and the library may throw types of its own.
+            std::fputs("log output could not be closed\n", stderr);
+        }
+    }
+    line_writer(const line_writer&) = delete;
+    line_writer& operator=(const line_writer&) = delete;
+    line_writer(line_writer&&) = delete;
+    line_writer& operator=(line_writer&&) = delete;
+
+    void attach(runtime::event_loop& /*loop*/) {}
+
+    void handle(message item) {
+        std::visit([this](auto& content) { write(content); }, item);
+    }
+
+private:
+    using sink = boost::log::sinks::synchronous_sink<boost::log::sinks::text_ostream_backend>;
+
+    void write(const log_line& line) { BOOST_LOG_SEV(source_, line.level) << line.text; }
+    void write(flush_request& request) { request.done.set_value(); }
+
+    std::shared_ptr<std::ostream> stream_;
+    boost::shared_ptr<sink> sink_;
+    boost::log::sources::severity_logger<core::log_level> source_;
+};
 
 } // namespace detail
 
 struct log_output::state {
+    state(std::shared_ptr<std::ostream> stream, core::log_level lowest)
+        : level(lowest), inbox(runtime::make_mailbox<detail::line_writer::message>(queue_capacity)),
+          task(inbox, std::move(stream)) {}
+
     std::atomic<core::log_level> level;
-    std::shared_ptr<std::ostream> stream;
-    boost::shared_ptr<detail::frontend> sink;
-    boost::log::sources::severity_logger_mt<core::log_level> source;
+    std::atomic<std::uint64_t> overflow_count{0};
+    runtime::address<detail::line_writer::message> inbox;
+    runtime::loop_task<detail::line_writer> task;
 };
 
 log_output::log_output(std::shared_ptr<std::ostream> stream, core::log_level level)
-    : state_(std::make_unique<state>()) {
-    state_->level = level;
-    state_->stream = std::move(stream);
-    const auto backend = boost::make_shared<detail::backend>();
-    // The state outlives the sink, so the backend need not own the stream.
-    backend->add_stream({state_->stream.get(), [](std::ostream*) {
-                         }});
-    backend->auto_flush(true);
-    state_->sink = boost::make_shared<detail::frontend>(backend);
-    state_->sink->set_formatter(boost::log::expressions::stream
-                                << boost::log::expressions::smessage);
-    detail::overflow_counter() = 0;
-    boost::log::core::get()->add_sink(state_->sink);
-}
+    : state_(std::make_unique<state>(std::move(stream), level)) {}
 
-log_output::~log_output() {
-    try {
-        boost::log::core::get()->remove_sink(state_->sink);
-        state_->sink->stop();
-        state_->sink->flush();
-    } catch (...) {
-        // The lines cannot be logged any more, and the library may throw types of its own.
-        std::fputs("log output could not be flushed\n", stderr);
-    }
-}
+log_output::~log_output() = default;
 
 void log_output::set_level(core::log_level level) noexcept {
     state_->level = level;
@@ -83,15 +105,23 @@
 }
 
 void log_output::write(core::log_level level, std::string_view line) {
-    BOOST_LOG_SEV(state_->source, level) << line;
+    if (!state_->inbox->post(detail::log_line{.level = level, .text = std::string{line}})) {
+        ++state_->overflow_count;
+    }
 }
 
-void log_output::flush() {
-    state_->sink->flush();
+bool log_output::flush() {
+    detail::flush_request request;
+    auto done = request.done.get_future();
+    if (!state_->inbox->post(std::move(request))) {
+        return false;
+    }
+    done.wait();
+    return true;
 }
 
 std::uint64_t log_output::overflow_count() const noexcept {
-    return detail::overflow_counter();
+    return state_->overflow_count;
 }
 
 std::shared_ptr<std::ostream> standard_error() {
--- a/src/hawthornstall/telemetry/log_output.hpp
+++ b/src/hawthornstall/telemetry/log_output.hpp
@@ -11,8 +11,9 @@
 
 namespace hawthornstall::telemetry {
 
-/// Writes lines to a stream on a thread of its own, so that a slow disk or terminal never holds up
-/// a loop task. At most one may exist in a process at a time. All members are safe from any thread.
+/// Writes lines to a stream in a task of its own, so that a slow disk or terminal never holds up
+/// another task. At most one may exist in a process at a time. All members are safe from any
+/// thread.
 class log_output {
 public:
     /// Lines that wait for the stream at most; further ones are dropped and counted.
@@ -34,8 +35,8 @@
     /// Queues `line`, which has no line feed.
     void write(core::log_level level, std::string_view line);
 
-    /// Waits until the queued lines are in the stream.
-    void flush();
+    /// Waits until the queued lines are in the stream. False when the queue is full.
+    bool flush();
 
     /// Lines dropped because the queue was full.
     [[nodiscard]] std::uint64_t overflow_count() const noexcept;
--- a/tests/hawthornstall/telemetry/logger_test.cpp
+++ b/tests/hawthornstall/telemetry/logger_test.cpp
@@ -132,7 +132,7 @@
         log.write({.name = "hidden"});
         output.set_level(core::log_level::debug);
         log.write({.level = core::log_level::debug, .name = "shown"});
-        output.flush();
+        REQUIRE(output.flush());
         CHECK(stream->str().find("shown") != std::string::npos);
         log.write({.name = "last"});
         CHECK(output.overflow_count() == 0);
