Rest a target that refuses a task as busy

The pause was set before the refused attempt was released, and a pause ends when an attempt ends, so it never had an effect: a busy target got the next task at once. The new test failed on the old order (a start in the same call) and passes now. A refusal after a stop no longer pauses the target.

--- a/src/hawthornstall/scheduling/scheduler_impl.hpp
+++ b/src/hawthornstall/scheduling/scheduler_impl.hpp
@@ -186,7 +186,6 @@
         pool_.on_success(attempt.target);
         break;
     case attempt_result::not_run:
-        pool_.pause(attempt.target, now + tuning_.busy_pause);
         break;
     case attempt_result::failed:
     case attempt_result::lost:
@@ -201,6 +200,10 @@
     if (attempt.job == nullptr) {
         return;
     }
+    if (result == attempt_result::not_run) {
+        // After the release: the pause ends when fewer attempts are in flight than now.
+        pool_.pause(attempt.target, now + tuning_.busy_pause);
+    }
     attempt.job->ran = attempt.job->ran || result != attempt_result::not_run;
     if (twin != nullptr && twin->job != nullptr) {
         if (result != attempt_result::answered) {
--- a/tests/hawthornstall/scheduling/scheduler_test.cpp
+++ b/tests/hawthornstall/scheduling/scheduler_test.cpp
@@ -171,6 +171,25 @@
     }
 }
 
+// Guards against a tight loop of refusals by a target that other services keep busy.
+TEST_CASE("a target that refuses a task as busy rests until another attempt ends there") {
+    for (const bool other_ends : {false, true}) {
+        CAPTURE(other_ends);
+        bench setup{{2}};
+        setup.submit(1, 2);
+        REQUIRE(setup.last.starts.size() == 2);
+        const auto starts = setup.last.starts;
+        CHECK(setup.finish(starts[0], attempt_result::not_run).starts.empty());
+        if (other_ends) {
+            setup.finish(starts[1], attempt_result::answered, duration_ms{10});
+        } else {
+            CHECK(setup.decide(duration_ms{99}).starts.empty());
+            setup.decide(duration_ms{1});
+        }
+        CHECK(setup.last.starts.size() == 1);
+    }
+}
+
 // Guards against answers without results, stops that are not sent, and slots that are given away
 // while the target still runs a stopped task.
 TEST_CASE("a cancelled or expired job ends once and stops what runs") {
