--- a/src/hawthornstall/entry/dispatcher.cpp
+++ b/src/hawthornstall/entry/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "hawthornstall/entry/dispatcher.hpp"
 
 #include "hawthornstall/core/error.hpp"
+#include "hawthornstall/core/overloaded.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -17,13 +18,14 @@
 /// Longest time without a call of tick().
 constexpr core::duration_ms idle_interval{500};
 
-template <class... Handlers> struct overloaded : Handlers... { using Handlers::operator()...; };
-
 } // namespace detail
 
 dispatcher::dispatcher(dispatcher_options options, times started)
     : options_(std::move(options)), hosts_(options_.self, options_.others, started.now),
-      replica_(options_.self.name, options_.incarnation), config_(options_.control_hosts) {}
+      replica_(options_.self.name, options_.incarnation), config_(options_.control_hosts),
+      registry_({.incarnation = options_.incarnation,
+                 .zone = options_.self.zone,
+                 .peers = hosts_.zone_peers()}) {}
 
 dispatcher_effects dispatcher::handle(dispatcher_message message, times at) {
     std::visit([&](auto&& input) { take(std::forward<decltype(input)>(input), at); },
@@ -39,7 +41,7 @@
             carry_out(*owned, owned->tick(at), at);
         }
     }
-    expire_targets(at);
+    tick_targets(at);
     for (const auto number : forwarded_.due(at.now)) {
         ask_owner(number, at);
     }
@@ -77,11 +79,14 @@
         carry_out(config_.handle(incoming.peer, *config, at.now), at);
         return;
     }
-    std::visit(
-        [&](auto&& content) {
-            receive(incoming.peer, std::forward<decltype(content)>(content), at);
-        },
-        std::get<peer_message>(std::move(incoming.content)));
+    auto& content = std::get<peer_message>(incoming.content);
+    std::visit(core::overloaded{
+                   [&](membership::message& news) {
+                       receive(incoming.peer, incoming.incarnation, news, at);
+                   },
+                   [&](auto& message) { receive(incoming.peer, std::move(message), at); },
+               },
+               content);
 }
 
 void dispatcher::take(const peer_state_changed& change, times at) {
@@ -178,7 +183,7 @@
 
 void dispatcher::carry_out(shard& source, shard_effects effects, times at) {
     for (auto& effect : effects) {
-        std::visit(detail::overloaded{
+        std::visit(core::overloaded{
                        [&](journal_message_out& out) {
                            send_journal(out.replica, std::move(out.message), at);
                        },
@@ -240,7 +245,8 @@
 }
 
 dispatcher_effects dispatcher::take_effects(times at) {
-    next_call_ = std::min({next_notice_, next_claim_, at.now + detail::idle_interval});
+    next_call_ =
+        std::min({next_notice_, next_claim_, next_target_tick_, at.now + detail::idle_interval});
     for (const auto& [service, owned] : shards_) {
         next_call_ = std::min(next_call_, owned->next_call());
     }
