Record refusals, and let the jobs of one turn share an append

Cause: a refusal 'not run' was only confirmed, not recorded, so a copy of the job that was still on its way could run after its caller had been told that it would not.

A refused submission is now registered and ended in one append, and the starts and the ends that follow from one input share an append. A job whose starts were recorded is never refused as not run.

Ruled out: remembering refusals in memory only, since a new owner would not know them.

--- a/src/hawthornstall/entry/shard.cpp
+++ b/src/hawthornstall/entry/shard.cpp
@@ -104,7 +104,8 @@
         return;
     }
     const auto found = table_.find(*request.id, digest, at.wall);
-    if (found.verdict != journal::submission_verdict::fresh) {
+    if (found.verdict != journal::submission_verdict::fresh &&
+        found.verdict != journal::submission_verdict::retryable) {
         answer_recorded(*request.id, reply_to, found, deadline, at);
         return;
     }
@@ -118,12 +119,7 @@
     if (log_.state().find(key) != nullptr) {
         // An earlier owner registered it, and every attempt ended in a way that may be repeated.
         // Registering it under this epoch lets the table continue the count of its attempts.
-        journal::job_records records;
-        records.submission = key;
-        records.registration = {.digest = digest,
-                                .task_count = static_cast<std::uint32_t>(job.request.tasks.size())};
-        job.registered = true;
-        take_journal_effects(log_.append(records, at.now).effects, at);
+        take_journal_effects(log_.append(make_records(job), at.now).effects, at);
     }
     open(std::move(job), at);
 }
--- a/src/hawthornstall/entry/shard.hpp
+++ b/src/hawthornstall/entry/shard.hpp
@@ -81,6 +81,11 @@
         std::string target;
         std::uint32_t recorded_attempt = 0; ///< Number in the journal; 0 without a record.
     };
+    /// Starts of one turn, which share an append.
+    struct start_batch {
+        std::vector<journal::job_records> records; ///< One per job.
+        std::vector<std::uint64_t> runs;
+    };
     struct waiting_job {
         core::job_request request;
         reply_address reply_to;
@@ -107,12 +112,19 @@
 
     void run_decisions(times at);
     void start_tasks(std::span<const scheduling::start_decision> starts, times at);
-    void record_starts(open_job& job, std::span<const scheduling::start_decision> starts, times at);
+    void add_start(start_batch& batch, open_job& job, const scheduling::start_decision& start,
+                   times at);
+    void record_starts(start_batch batch, times at);
+    [[nodiscard]] running_task make_run(const scheduling::start_decision& start) const;
+    [[nodiscard]] static journal::job_records make_records(open_job& job);
     void send_committed(std::uint64_t committed, times at);
     void send(std::uint64_t run, times at);
     void record_repeatable_end(const open_job& job, const running_task& ended, times at);
-    void end_job(const scheduling::end_decision& end, times at);
-    void finish(std::uint64_t number, open_job& job, times at);
+    void end_jobs(std::span<const scheduling::end_decision> ends, times at);
+    void record_ends(std::span<const journal::job_records> records,
+                     std::span<const std::uint64_t> numbers, times at);
+    [[nodiscard]] static core::job_answer make_answer(open_job& job,
+                                                      const scheduling::end_decision& end);
     void end_unconfirmed(std::uint64_t number, open_job& job, times at);
     void close(std::uint64_t number);
     void release_committed(std::uint64_t committed);
--- a/src/hawthornstall/entry/shard_dispatch.cpp
+++ b/src/hawthornstall/entry/shard_dispatch.cpp
@@ -90,75 +90,76 @@
         }
     }
     start_tasks(decided.starts, at);
-    for (const auto& end : decided.ends) {
-        end_job(end, at);
-    }
+    end_jobs(decided.ends, at);
 }
 
 void shard::start_tasks(std::span<const scheduling::start_decision> starts, times at) {
-    while (!starts.empty()) {
-        const auto job_number = starts.front().job;
-        const auto* const next = std::ranges::find_if(starts, [&](const auto& start) {
-                                     return start.job != job_number;
-                                 }).base();
-        const auto count = static_cast<std::size_t>(next - starts.data());
-        auto* const job = find_job(job_number);
+    start_batch batch;
+    for (const auto& start : starts) {
+        auto* const job = find_job(start.job);
         if (job == nullptr) {
-            for (const auto& start : starts.first(count)) {
-                scheduler_->not_sent(start.attempt, scheduling::not_sent_cause::stopped, at.now);
-            }
+            scheduler_->not_sent(start.attempt, scheduling::not_sent_cause::stopped, at.now);
+        } else if (job->submission) {
+            add_start(batch, *job, start, at);
         } else {
-            record_starts(*job, starts.first(count), at);
+            job->started = true;
+            runs_.insert_or_assign(detail::run_number(start.attempt), make_run(start));
+            send(detail::run_number(start.attempt), at);
         }
-        starts = starts.subspan(count);
     }
+    if (!batch.records.empty()) {
+        record_starts(std::move(batch), at);
+    }
+}
+
+shard::running_task shard::make_run(const scheduling::start_decision& start) const {
+    return {.attempt = start.attempt,
+            .job = start.job,
+            .task = start.task,
+            .target = std::string{scheduler_->target_name(start.target)}};
 }
 
-void shard::record_starts(open_job& job, std::span<const scheduling::start_decision> starts,
-                          times at) {
+void shard::add_start(start_batch& batch, open_job& job, const scheduling::start_decision& start,
+                      times at) {
     job.started = true;
-    journal::job_records records;
-    std::vector<std::uint64_t> runs;
-    for (const auto& start : starts) {
-        running_task running{.attempt = start.attempt,
-                             .job = start.job,
-                             .task = start.task,
-                             .target = std::string{scheduler_->target_name(start.target)}};
-        if (job.submission) {
-            const auto attempt = job.registered ? table_.next_attempt(*job.submission, start.task)
-                                                : std::optional<std::uint32_t>{1};
-            if (!attempt) {
-                scheduler_->not_sent(start.attempt, scheduling::not_sent_cause::journal, at.now);
-                continue;
-            }
-            running.recorded_attempt = *attempt;
-            records.starts.push_back({.task = start.task, .attempt = *attempt});
-        }
-        const auto run = detail::run_number(start.attempt);
-        runs_.insert_or_assign(run, running);
-        runs.push_back(run);
-    }
-    if (!job.submission) {
-        std::ranges::for_each(runs, [&](std::uint64_t run) { send(run, at); });
+    // A registration that is in this batch is not in the log yet.
+    const auto attempt = log_.state().find(*job.submission) != nullptr
+                             ? table_.next_attempt(*job.submission, start.task)
+                             : std::optional<std::uint32_t>{1};
+    if (!attempt) {
+        scheduler_->not_sent(start.attempt, scheduling::not_sent_cause::journal, at.now);
         return;
     }
-    if (runs.empty()) {
-        return;
+    auto running = make_run(start);
+    running.recorded_attempt = *attempt;
+    runs_.insert_or_assign(detail::run_number(start.attempt), std::move(running));
+    batch.runs.push_back(detail::run_number(start.attempt));
+    if (batch.records.empty() || batch.records.back().submission != *job.submission) {
+        batch.records.push_back(make_records(job));
     }
+    batch.records.back().starts.push_back({.task = start.task, .attempt = *attempt});
+}
+
+journal::job_records shard::make_records(open_job& job) {
+    journal::job_records records;
     records.submission = *job.submission;
     if (!std::exchange(job.registered, true)) {
         records.registration = {.digest = job.digest,
                                 .task_count = static_cast<std::uint32_t>(job.request.tasks.size())};
     }
-    auto result = log_.append(records, at.now);
+    return records;
+}
+
+void shard::record_starts(start_batch batch, times at) {
+    auto result = log_.append(batch.records, at.now);
     if (result.sequence == 0) {
-        for (const auto run : runs) {
+        for (const auto run : batch.runs) {
             const auto attempt = runs_.at(run).attempt;
             runs_.erase(run);
             scheduler_->not_sent(attempt, scheduling::not_sent_cause::journal, at.now);
         }
     } else {
-        runs_by_append_.emplace(result.sequence, std::move(runs));
+        runs_by_append_.emplace(result.sequence, std::move(batch.runs));
     }
     take_journal_effects(std::move(result.effects), at);
 }
@@ -188,46 +189,59 @@
     scheduler_->sent(running.attempt, at.now);
 }
 
-void shard::end_job(const scheduling::end_decision& end, times at) {
-    auto* const job = find_job(end.job);
-    if (job == nullptr || job->end) {
-        return;
+void shard::end_jobs(std::span<const scheduling::end_decision> ends, times at) {
+    std::vector<journal::job_records> records;
+    std::vector<std::uint64_t> numbers;
+    for (const auto& end : ends) {
+        auto* const job = find_job(end.job);
+        if (job == nullptr || job->end) {
+            continue;
+        }
+        const auto number = static_cast<std::uint64_t>(end.job);
+        job->end = make_answer(*job, end);
+        if (job->submission) {
+            records.push_back(make_records(*job));
+            records.back().end = journal::make_job_end(*job->end, detail::max_kept_answer_bytes);
+            numbers.push_back(number);
+        } else {
+            reply(job->waiters, *job->end);
+            close(number);
+        }
+    }
+    if (!records.empty()) {
+        record_ends(records, numbers, at);
     }
-    const bool answered = end.outcome == core::outcome_class::answered;
-    job->end = core::job_answer{.id = job->request.id,
-                                .outcome = end.outcome,
-                                .reason = std::string{scheduling::to_string(end.reason)},
-                                .retry_after = end.retry_after,
-                                .results = answered ? std::move(job->results)
-                                                    : std::vector<std::string>{}};
-    finish(static_cast<std::uint64_t>(end.job), *job, at);
 }
 
-void shard::finish(std::uint64_t number, open_job& job, times at) {
-    if (!job.submission) {
-        reply(job.waiters, *job.end);
-        close(number);
-        return;
+core::job_answer shard::make_answer(open_job& job, const scheduling::end_decision& end) {
+    core::job_answer answer{.id = job.request.id,
+                            .outcome = end.outcome,
+                            .reason = std::string{scheduling::to_string(end.reason)},
+                            .retry_after = end.retry_after,
+                            .results = {}};
+    if (end.outcome == core::outcome_class::answered) {
+        answer.results = std::move(job.results);
     }
-    journal::append_result result;
-    if (job.registered) {
-        journal::job_records records;
-        records.submission = *job.submission;
-        records.end = journal::make_job_end(*job.end, detail::max_kept_answer_bytes);
-        if (records.end->outcome == core::outcome_class::refused_not_run) {
-            // Starts are recorded although none was sent, so the identifier can't be released.
-            records.end->outcome = core::outcome_class::failed;
-        }
-        result = log_.append(records, at.now);
-    } else {
-        result = log_.confirm_ownership(at.now);
+    if (end.outcome == core::outcome_class::refused_not_run && job.registered) {
+        // Recorded starts, of this or of an earlier owner, rule out a plain "not run". All of them
+        // ended without an answer, so the job has definitely failed.
+        answer.outcome = core::outcome_class::failed;
     }
-    if (result.sequence == 0) {
-        end_unconfirmed(number, job, at);
-        return;
+    return answer;
+}
+
+void shard::record_ends(std::span<const journal::job_records> records,
+                        std::span<const std::uint64_t> numbers, times at) {
+    auto result = log_.append(records, at.now);
+    for (const auto number : numbers) {
+        if (result.sequence == 0) {
+            end_unconfirmed(number, jobs_.at(number), at);
+        } else {
+            // Callers hear of the end once a quorum holds it, so that a resubmission gets the same
+            // one, and a refused job that arrives late is not run after all.
+            ends_by_append_.emplace(result.sequence, number);
+        }
     }
-    // Callers hear of the end once a quorum holds it, so that a resubmission gets the same one.
-    ends_by_append_.emplace(result.sequence, number);
     take_journal_effects(std::move(result.effects), at);
 }
 
