--- /dev/null
+++ b/tests/hawthornstall/control/control_logic_test.cpp
@@ -0,0 +1,122 @@
+#include "hawthornstall/control/control_logic.hpp"
+#include "hawthornstall/control/entry_message_layouts.hpp"
+#include "hawthornstall/control/sample_edits.hpp"
+#include "hawthornstall/control/scratch_folder.hpp"
+#include "hawthornstall/wire/codec.hpp"
+#include "support/loopback.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace hawthornstall::control {
+namespace {
+
+constexpr core::duration_ms time_limit{60'000};
+constexpr core::duration_ms resend_interval{300};
+
+struct round_result {
+    std::optional<edit_answer> answer;
+    int damaged_folders = 0;
+    int failures = 0;
+};
+
+control_options make_options(const std::string& parent, const net::peer_endpoint& host,
+                             std::span<const net::peer_endpoint> hosts,
+                             const net::peer_endpoint& entry) {
+    control_options options;
+    options.self = {.name = host.name, .incarnation = 1, .listen_address = host.address};
+    for (const auto& other : hosts) {
+        options.consensus.hosts.push_back(other.name);
+        if (other.name != host.name) {
+            options.control_hosts.push_back(other);
+        }
+    }
+    options.entry_hosts = {entry};
+    options.data_folder = parent + '/' + host.name;
+    return options;
+}
+
+/// Starts three control hosts over the folders below `parent`, sends `edit` until it is answered,
+/// and stops the hosts.
+round_result run_round(const std::string& parent, const edit_command& edit) {
+    round_result result;
+    runtime::event_loop loop;
+    const auto addresses = testing::free_addresses<4>();
+    const net::peer_endpoint entry{"entry-1", addresses[3]};
+    std::vector<net::peer_endpoint> hosts;
+    for (std::size_t index = 0; index < 3; ++index) {
+        hosts.push_back({"control-" + std::to_string(index), addresses.at(index)});
+    }
+    std::vector<std::unique_ptr<control_logic>> running;
+    for (const auto& host : hosts) {
+        running.push_back(std::make_unique<control_logic>(
+            make_options(parent, host, hosts, entry), [&result](const control_event& event) {
+                result.damaged_folders += event.what == control_event::kind::folder_damaged;
+                result.failures += event.what == control_event::kind::failed;
+            }));
+        running.back()->attach(loop);
+    }
+    const auto receive = [&](std::string_view /*host*/, std::uint64_t /*incarnation*/,
+                             std::string_view body) {
+        const auto message = wire::decode<control_to_entry>(body);
+        REQUIRE(message.ok());
+        const auto* const reply = std::get_if<edit_reply>(&*message);
+        if (reply != nullptr && reply->answer) {
+            result.answer = reply->answer;
+            loop.stop();
+        }
+    };
+    net::peer_links links{loop,
+                          {.name = entry.name, .incarnation = 1, .listen_address = entry.address},
+                          receive,
+                          [](std::string_view /*host*/, bool /*reachable*/) {
+                          }};
+    REQUIRE(links.start(hosts).ok());
+    std::size_t attempt = 0;
+    const auto resend = loop.every(resend_interval, [&] {
+        const auto body = wire::encode(entry_to_control{edit_request{++attempt, edit}});
+        (void)links.send(hosts.at(attempt % hosts.size()).name, body);
+    });
+    const auto limit = loop.after(time_limit, [&loop] { loop.stop(); });
+    loop.run();
+    return result;
+}
+
+struct round {
+    std::string_view name;
+    std::string damaged_host; ///< Host whose folder is damaged before the start, or empty.
+    edit_command edit;
+    edit_answer answer;
+};
+
+// Guards against edits that a restart of all control hosts loses or applies twice, over the real
+// files and links, also when one folder is damaged.
+TEST_CASE("edits survive a restart of all control hosts") {
+    const scratch_folder parent;
+    const std::array rounds{
+        round{"first start", "", make_edit("first", 0), {edit_result::accepted, 1}},
+        round{"resent after a restart", "", make_edit("first", 0), {edit_result::accepted, 1}},
+        round{"one folder damaged", "control-1", make_edit("next", 1), {edit_result::accepted, 2}},
+        round{
+            "racing edit that lost", "", make_edit("late", 1), {edit_result::version_conflict, 2}},
+    };
+    for (const auto& round : rounds) {
+        CAPTURE(round.name);
+        if (!round.damaged_host.empty()) {
+            write_all(parent.path() + '/' + round.damaged_host + "/config/state", "x");
+        }
+        const auto result = run_round(parent.path(), round.edit);
+        CHECK(result.answer == round.answer);
+        CHECK(result.damaged_folders == (round.damaged_host.empty() ? 0 : 1));
+        CHECK(result.failures == 0);
+    }
+}
+
+} // namespace
+} // namespace hawthornstall::control
