Log events and count messages, outcomes and epochs in the entry host

Cause: /metrics had no data and the entry host logged only its start and end. Links, targets, front ends and the dispatcher's loop task count and log on their own threads; the decisions stay free of it.

--- a/src/hawthornstall/entry/dispatcher.cpp
+++ b/src/hawthornstall/entry/dispatcher.cpp
@@ -64,6 +64,21 @@
     return found != shards_.end() && found->second->is_serving();
 }
 
+std::map<std::string, std::uint64_t> dispatcher::owned_epochs() const {
+    std::map<std::string, std::uint64_t> epochs;
+    for (const auto& [service, owned] : shards_) {
+        if (owned->is_serving()) {
+            epochs.emplace(service, owned->log().epoch());
+        }
+    }
+    return epochs;
+}
+
+std::optional<core::duration_ms> dispatcher::configuration_age(core::time_ms now) const {
+    const auto confirmed = config_.documents().last_confirmed();
+    return confirmed ? std::optional{now - *confirmed} : std::nullopt;
+}
+
 std::uint64_t dispatcher::generation_of(std::string_view service) const {
     return owns(service) ? shards_.find(service)->second->log().generation() : 0;
 }
--- a/src/hawthornstall/entry/dispatcher.hpp
+++ b/src/hawthornstall/entry/dispatcher.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -50,6 +51,12 @@
     /// Whether this host serves the service in its zone.
     [[nodiscard]] bool owns(std::string_view service) const;
 
+    /// Epochs of the services that this host serves in its zone.
+    [[nodiscard]] std::map<std::string, std::uint64_t> owned_epochs() const;
+
+    /// Time since the documents were last confirmed; empty before the first confirmation.
+    [[nodiscard]] std::optional<core::duration_ms> configuration_age(core::time_ms now) const;
+
     /// Journal generation of a service that this host serves; 0 otherwise.
     [[nodiscard]] std::uint64_t generation_of(std::string_view service) const;
 
--- a/src/hawthornstall/entry/dispatcher_logic.cpp
+++ b/src/hawthornstall/entry/dispatcher_logic.cpp
@@ -15,9 +15,10 @@
 } // namespace detail
 
 dispatcher_logic::dispatcher_logic(dispatcher_options options, dispatcher_peers peers,
-                                   std::function<void()> on_drained)
+                                   std::function<void()> on_drained,
+                                   telemetry::entry_metrics* metrics, telemetry::log_output* output)
     : dispatcher_(std::move(options), detail::current_times()), peers_(std::move(peers)),
-      on_drained_(std::move(on_drained)) {}
+      on_drained_(std::move(on_drained)), metrics_(metrics), log_(*output) {}
 
 void dispatcher_logic::attach(runtime::event_loop& loop) {
     loop_ = &loop;
@@ -25,11 +26,16 @@
 }
 
 void dispatcher_logic::handle(dispatcher_message incoming) {
+    if (const auto* const change = std::get_if<peer_state_changed>(&incoming)) {
+        log_peer_state(*change);
+    }
     carry_out(dispatcher_.handle(std::move(incoming), detail::current_times()));
 }
 
 void dispatcher_logic::run_timer() {
     timer_at_ = core::time_ms::max();
+    log_.report_dropped();
+    observe_ownership();
     carry_out(dispatcher_.tick(detail::current_times()));
 }
 
@@ -57,11 +63,48 @@
 }
 
 void dispatcher_logic::post_documents(const documents_changed& documents) {
+    observe_documents(documents);
     for (const auto& front : peers_.fronts) {
         (void)front->post(documents);
     }
 }
 
+void dispatcher_logic::log_peer_state(const peer_state_changed& change) {
+    log_.write({.level = change.reachable ? core::log_level::info : core::log_level::warning,
+                .name = change.reachable ? "peer_reachable" : "peer_unreachable",
+                .step = "check_liveness",
+                .peer = change.peer});
+}
+
+void dispatcher_logic::observe_documents(const documents_changed& changed) {
+    for (const auto& document : changed.documents->documents()) {
+        metrics_->for_service(document.service).set_document_version(document.version);
+    }
+    log_.write({.name = "documents_applied"}, {{"revision", changed.documents->revision()}});
+}
+
+void dispatcher_logic::observe_ownership() {
+    auto epochs = dispatcher_.owned_epochs();
+    for (const auto& [service, epoch] : epochs) {
+        if (const auto known = epochs_.find(service);
+            known == epochs_.end() || known->second != epoch) {
+            metrics_->for_service(service).set_epoch(epoch);
+            log_.write({.name = "ownership_gained"}, {{"service", service}, {"epoch", epoch}});
+        }
+    }
+    for (const auto& [service, epoch] : epochs_) {
+        if (!epochs.contains(service)) {
+            metrics_->for_service(service).set_epoch(0);
+            log_.write({.level = core::log_level::warning, .name = "ownership_lost"},
+                       {{"service", service}, {"epoch", epoch}});
+        }
+    }
+    epochs_ = std::move(epochs);
+    if (const auto age = dispatcher_.configuration_age(core::ms_clock::now())) {
+        metrics_->set_configuration_age(*age);
+    }
+}
+
 void dispatcher_logic::post_start(start_order order) {
     const task_report unsent{.service = order.service,
                              .run = order.task.run,
--- a/src/hawthornstall/entry/dispatcher_logic.hpp
+++ b/src/hawthornstall/entry/dispatcher_logic.hpp
@@ -5,9 +5,14 @@
 #include "hawthornstall/entry/dispatcher.hpp"
 #include "hawthornstall/runtime/event_loop.hpp"
 #include "hawthornstall/runtime/mailbox.hpp"
+#include "hawthornstall/telemetry/entry_metrics.hpp"
+#include "hawthornstall/telemetry/log_output.hpp"
+#include "hawthornstall/telemetry/logger.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace hawthornstall::entry {
@@ -25,8 +30,10 @@
     using message = dispatcher_message;
 
     /// `on_drained` is called once after a shutdown request, when nothing is left to finish.
+    /// `metrics` and `output` must outlive the task.
     dispatcher_logic(dispatcher_options options, dispatcher_peers peers,
-                     std::function<void()> on_drained);
+                     std::function<void()> on_drained, telemetry::entry_metrics* metrics,
+                     telemetry::log_output* output);
 
     void attach(runtime::event_loop& loop);
     void handle(dispatcher_message incoming);
@@ -36,10 +43,16 @@
     void carry_out(dispatcher_effects effects);
     void post_documents(const documents_changed& documents);
     void post_start(start_order order);
+    void log_peer_state(const peer_state_changed& change);
+    void observe_documents(const documents_changed& changed);
+    void observe_ownership();
 
     dispatcher dispatcher_;
     dispatcher_peers peers_;
     std::function<void()> on_drained_;
+    telemetry::entry_metrics* metrics_;
+    telemetry::logger log_;
+    std::map<std::string, std::uint64_t> epochs_; ///< Epoch of each owned service, as last logged.
     runtime::event_loop* loop_ = nullptr;
     runtime::event_handle timer_;
     core::time_ms timer_at_{core::time_ms::max()};
--- a/src/hawthornstall/entry/entry_host.cpp
+++ b/src/hawthornstall/entry/entry_host.cpp
@@ -33,12 +33,37 @@
 
 } // namespace detail
 
-entry_host::entry_host(const settings::entry_settings& settings, std::function<void()> on_stopped)
+entry_host::entry_host(const settings::entry_settings& settings, telemetry::log_output& output,
+                       std::function<void()> on_stopped)
     : on_stopped_(std::move(on_stopped)), running_parts_(settings.http_threads + 1),
       dispatcher_box_(runtime::make_mailbox<dispatcher_message>(detail::mailbox_capacity)),
       link_box_(runtime::make_mailbox<outgoing_message>(detail::mailbox_capacity)),
       target_box_(runtime::make_mailbox<start_order>(detail::mailbox_capacity)) {
     const auto incarnation = static_cast<std::uint64_t>(core::to_count(core::ms_clock::wall_now()));
+    for (std::size_t number = 0; number < settings.http_threads; ++number) {
+        front_boxes_.push_back(runtime::make_mailbox<front_message>(detail::mailbox_capacity));
+    }
+    dispatcher_ = std::make_unique<runtime::loop_task<dispatcher_logic>>(
+        dispatcher_box_, detail::make_options(settings, incarnation),
+        dispatcher_peers{front_boxes_, link_box_, target_box_}, std::function<void()>{[this] {
+            part_stopped();
+        }},
+        &metrics_, &output);
+    start_targets();
+    start_links(settings, incarnation);
+    for (std::size_t number = 0; number < settings.http_threads; ++number) {
+        start_front(settings, number);
+    }
+}
+
+void entry_host::start_targets() {
+    const target_logic::receiver deliver = [box = dispatcher_box_](task_report report) {
+        (void)box->post(dispatcher_message{std::move(report)});
+    };
+    targets_ = std::make_unique<runtime::loop_task<target_logic>>(target_box_, deliver, &metrics_);
+}
+
+void entry_host::start_links(const settings::entry_settings& settings, std::uint64_t incarnation) {
     std::vector<net::peer_endpoint> entry_hosts;
     for (const auto& peer : settings.peers) {
         entry_hosts.push_back(detail::to_endpoint(peer.host));
@@ -47,44 +72,30 @@
     for (const auto& host : settings.control_hosts) {
         control_hosts.push_back(detail::to_endpoint(host));
     }
-    for (std::size_t number = 0; number < settings.http_threads; ++number) {
-        front_boxes_.push_back(runtime::make_mailbox<front_message>(detail::mailbox_capacity));
-    }
-    // A full mailbox drops the message: targets are asked again by retries, peers resend.
-    const auto to_dispatcher = [box = dispatcher_box_](auto input) {
-        return box->post(dispatcher_message{std::move(input)});
+    // A full mailbox drops the message: peers resend.
+    const link_logic::receiver deliver = [box = dispatcher_box_](auto input) {
+        std::visit([&](auto& content) { (void)box->post(dispatcher_message{std::move(content)}); },
+                   input);
     };
-    dispatcher_ = std::make_unique<runtime::loop_task<dispatcher_logic>>(
-        dispatcher_box_, detail::make_options(settings, incarnation),
-        dispatcher_peers{front_boxes_, link_box_, target_box_}, std::function<void()>{[this] {
-            part_stopped();
-        }});
-    targets_ = std::make_unique<runtime::loop_task<target_logic>>(
-        target_box_, target_logic::receiver{[to_dispatcher](task_report report) {
-            (void)to_dispatcher(std::move(report));
-        }});
     links_ = std::make_unique<runtime::loop_task<link_logic>>(
         link_box_,
         net::peer_links::identity{settings.name, incarnation,
                                   settings::to_string(settings.peer_address)},
-        entry_hosts, control_hosts, link_logic::receiver{[to_dispatcher](auto input) {
-            std::visit([&](auto& content) { (void)to_dispatcher(std::move(content)); }, input);
-        }});
-    for (std::size_t number = 0; number < settings.http_threads; ++number) {
-        fronts_.push_back(std::make_unique<front_task>(
-            front_boxes_[number],
-            front_options{number, settings.name, settings::to_string(settings.http_address),
-                          settings.credentials},
-            front_logic::dispatcher_sender{[box = dispatcher_box_](dispatcher_message message) {
-                return box->post(std::move(message));
-            }},
-            front_logic::metrics_source{[this] {
-                return metrics_.render();
-            }},
-            std::function<void()>{[this] {
-                part_stopped();
-            }}));
-    }
+        std::move(entry_hosts), std::move(control_hosts), deliver, &metrics_);
+}
+
+void entry_host::start_front(const settings::entry_settings& settings, std::size_t number) {
+    const front_logic::dispatcher_sender to_dispatcher =
+        [box = dispatcher_box_](dispatcher_message message) {
+            return box->post(std::move(message));
+        };
+    fronts_.push_back(std::make_unique<front_task>(
+        front_boxes_[number],
+        front_options{number, settings.name, settings::to_string(settings.http_address),
+                      settings.credentials},
+        to_dispatcher, &metrics_, std::function<void()>{[this] {
+            part_stopped();
+        }}));
 }
 
 void entry_host::shut_down() {
--- a/src/hawthornstall/entry/entry_host.hpp
+++ b/src/hawthornstall/entry/entry_host.hpp
@@ -9,6 +9,7 @@
 #include "hawthornstall/runtime/loop_task.hpp"
 #include "hawthornstall/settings/entry_settings.hpp"
 #include "hawthornstall/telemetry/entry_metrics.hpp"
+#include "hawthornstall/telemetry/log_output.hpp"
 
 #include <atomic>
 #include <functional>
@@ -21,7 +22,9 @@
 class entry_host {
 public:
     /// `on_stopped` is called once, on a thread of the host, when a graceful shutdown is complete.
-    entry_host(const settings::entry_settings& settings, std::function<void()> on_stopped);
+    /// `output` must outlive the host.
+    entry_host(const settings::entry_settings& settings, telemetry::log_output& output,
+               std::function<void()> on_stopped);
 
     /// Stops accepting, hands ownership over and finishes what runs; then calls `on_stopped`.
     void shut_down();
@@ -29,6 +32,9 @@
 private:
     using front_task = runtime::loop_task<front_logic>;
 
+    void start_targets();
+    void start_links(const settings::entry_settings& settings, std::uint64_t incarnation);
+    void start_front(const settings::entry_settings& settings, std::size_t number);
     void part_stopped();
 
     telemetry::entry_metrics metrics_;
--- a/src/hawthornstall/entry/front_logic.cpp
+++ b/src/hawthornstall/entry/front_logic.cpp
@@ -95,11 +95,10 @@
 } // namespace detail
 
 front_logic::front_logic(front_options options, dispatcher_sender to_dispatcher,
-                         metrics_source metrics, std::function<void()> on_idle)
-    : options_(std::move(options)), to_dispatcher_(std::move(to_dispatcher)),
-      metrics_(std::move(metrics)), on_idle_(std::move(on_idle)),
-      pipeline_(authenticate{options_.credentials}, decode_call{}, resolve_service{&documents_},
-                check_limits{}) {}
+                         telemetry::entry_metrics* metrics, std::function<void()> on_idle)
+    : options_(std::move(options)), to_dispatcher_(std::move(to_dispatcher)), metrics_(metrics),
+      on_idle_(std::move(on_idle)), pipeline_(authenticate{options_.credentials}, decode_call{},
+                                              resolve_service{&documents_}, check_limits{}) {}
 
 void front_logic::attach(runtime::event_loop& loop) {
     server_ = std::make_unique<net::http_server>(
@@ -156,7 +155,7 @@
     } else if (request.path == "/v1/audit") {
         receive_view(request, core::view_kind::audit);
     } else if (request.path == "/metrics") {
-        const auto text = metrics_();
+        const auto text = metrics_->render();
         server_->answer(request.number,
                         {.content_type = "text/plain; version=0.0.4", .body = text});
     } else if (request.path == "/healthz") {
@@ -176,6 +175,8 @@
         answer_error(request.number, call.status());
         return;
     }
+    open_calls_.insert_or_assign(request.number,
+                                 open_call{call->job.service, core::ms_clock::now()});
     forward(request, job_arrived{address_of(request), std::move(call->job)});
 }
 
@@ -280,6 +281,11 @@
 }
 
 void front_logic::handle(const job_answered& answered) {
+    if (const auto call = open_calls_.extract(answered.request); !call.empty()) {
+        metrics_->for_service(call.mapped().service)
+            .observe_response(answered.answer.outcome,
+                              core::ms_clock::now() - call.mapped().arrived);
+    }
     const auto encoded = http::encode_job_answer(answered.answer);
     server_->answer(answered.request, {.status = encoded.status,
                                        .body = encoded.body,
@@ -321,6 +327,7 @@
 
 void front_logic::forward(const net::http_request& request, dispatcher_message to_dispatcher) {
     if (!to_dispatcher_(std::move(to_dispatcher))) {
+        open_calls_.erase(request.number);
         answer_error(request.number, detail::overloaded());
     }
 }
--- a/src/hawthornstall/entry/front_logic.hpp
+++ b/src/hawthornstall/entry/front_logic.hpp
@@ -9,11 +9,13 @@
 #include "hawthornstall/entry/resolve_service.hpp"
 #include "hawthornstall/net/http_server.hpp"
 #include "hawthornstall/pipeline/pipe.hpp"
+#include "hawthornstall/telemetry/entry_metrics.hpp"
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace hawthornstall::entry {
@@ -35,11 +37,9 @@
     /// Hands a message to the dispatcher; false when it is overloaded.
     using dispatcher_sender = std::function<bool(dispatcher_message)>;
 
-    /// Renders the metrics in the text exposition format.
-    using metrics_source = std::function<std::string()>;
-
-    front_logic(front_options options, dispatcher_sender to_dispatcher, metrics_source metrics,
-                std::function<void()> on_idle);
+    /// `metrics` must outlive the task.
+    front_logic(front_options options, dispatcher_sender to_dispatcher,
+                telemetry::entry_metrics* metrics, std::function<void()> on_idle);
 
     void attach(runtime::event_loop& loop);
     void handle(front_message incoming);
@@ -48,6 +48,12 @@
     using caller_pipeline =
         pipeline::pipe<authenticate, decode_call, resolve_service, check_limits>;
 
+    /// A caller's job that waits for the dispatcher.
+    struct open_call {
+        std::string service;
+        core::time_ms arrived{};
+    };
+
     void receive(const net::http_request& request);
     void receive_get(const net::http_request& request);
     void receive_post(const net::http_request& request);
@@ -72,9 +78,10 @@
 
     front_options options_;
     dispatcher_sender to_dispatcher_;
-    metrics_source metrics_;
+    telemetry::entry_metrics* metrics_;
     std::function<void()> on_idle_;
     resolve_service::document_source documents_;
+    std::unordered_map<std::uint64_t, open_call> open_calls_;
     caller_pipeline pipeline_;
     std::unique_ptr<net::http_server> server_;
 };
--- a/src/hawthornstall/entry/link_logic.cpp
+++ b/src/hawthornstall/entry/link_logic.cpp
@@ -2,6 +2,7 @@
 
 #include "hawthornstall/control/entry_message_layouts.hpp"
 #include "hawthornstall/core/error.hpp"
+#include "hawthornstall/core/overloaded.hpp"
 #include "hawthornstall/entry/peer_message_layout.hpp"
 #include "hawthornstall/wire/codec.hpp"
 
@@ -10,11 +11,31 @@
 #include <utility>
 
 namespace hawthornstall::entry {
+namespace detail {
+
+telemetry::message_purpose purpose_of(const outgoing_message& outgoing) {
+    using telemetry::message_purpose;
+    const auto* const content = std::get_if<peer_message>(&outgoing.content);
+    if (content == nullptr) {
+        return message_purpose::configuration;
+    }
+    return std::visit(core::overloaded{
+                          [](const ownership_notice&) { return message_purpose::membership; },
+                          [](const membership::message&) { return message_purpose::membership; },
+                          [](const journal::owner_message&) { return message_purpose::journal; },
+                          [](const journal::replica_message&) { return message_purpose::journal; },
+                          [](const auto&) { return message_purpose::forward; },
+                      },
+                      *content);
+}
+
+} // namespace detail
 
 link_logic::link_logic(net::peer_links::identity self, std::vector<net::peer_endpoint> entry_hosts,
-                       std::vector<net::peer_endpoint> control_hosts, receiver deliver)
+                       std::vector<net::peer_endpoint> control_hosts, receiver deliver,
+                       telemetry::entry_metrics* metrics)
     : self_(std::move(self)), entry_hosts_(std::move(entry_hosts)),
-      control_hosts_(std::move(control_hosts)), deliver_(std::move(deliver)) {}
+      control_hosts_(std::move(control_hosts)), deliver_(std::move(deliver)), metrics_(metrics) {}
 
 void link_logic::attach(runtime::event_loop& loop) {
     links_ = std::make_unique<net::peer_links>(
@@ -35,7 +56,9 @@
 void link_logic::handle(outgoing_message outgoing) {
     const auto bytes =
         std::visit([](const auto& content) { return wire::encode(content); }, outgoing.content);
-    (void)links_->send(outgoing.peer, bytes);
+    if (links_->send(outgoing.peer, bytes).ok()) {
+        metrics_->count_sent(detail::purpose_of(outgoing), 1, bytes.size());
+    }
 }
 
 void link_logic::receive(std::string_view peer, std::uint64_t incarnation, std::string_view body) {
--- a/src/hawthornstall/entry/link_logic.hpp
+++ b/src/hawthornstall/entry/link_logic.hpp
@@ -6,6 +6,7 @@
 #include "hawthornstall/entry/peer_message.hpp"
 #include "hawthornstall/net/peer_links.hpp"
 #include "hawthornstall/runtime/mailbox.hpp"
+#include "hawthornstall/telemetry/entry_metrics.hpp"
 
 #include <functional>
 #include <memory>
@@ -42,8 +43,10 @@
     /// Receives decoded messages and state changes, on this task's thread.
     using receiver = std::function<void(std::variant<incoming_message, peer_state_changed>)>;
 
+    /// `metrics` counts what is sent and must outlive the task.
     link_logic(net::peer_links::identity self, std::vector<net::peer_endpoint> entry_hosts,
-               std::vector<net::peer_endpoint> control_hosts, receiver deliver);
+               std::vector<net::peer_endpoint> control_hosts, receiver deliver,
+               telemetry::entry_metrics* metrics);
 
     void attach(runtime::event_loop& loop);
     void handle(outgoing_message outgoing);
@@ -55,6 +58,7 @@
     std::vector<net::peer_endpoint> entry_hosts_;
     std::vector<net::peer_endpoint> control_hosts_;
     receiver deliver_;
+    telemetry::entry_metrics* metrics_;
     std::unique_ptr<net::peer_links> links_;
 };
 
--- a/src/hawthornstall/entry/target_logic.cpp
+++ b/src/hawthornstall/entry/target_logic.cpp
@@ -36,12 +36,13 @@
                                         .body = order.task.payload,
                                         .timeout = order.task.timeout,
                                         .idempotent = order.task.idempotent};
-    const auto report = [this, service = order.service,
-                         run = order.task.run](const net::exchange_result& exchange) {
-        deliver_({.service = service,
-                  .run = run,
-                  .result = to_task_result(exchange),
-                  .body = std::string{exchange.body}});
+    const auto report = [this, service = order.service, run = order.task.run,
+                         sent_bytes =
+                             order.task.payload.size()](const net::exchange_result& exchange) {
+        const auto result = to_task_result(exchange);
+        count(result, sent_bytes, exchange.body.size());
+        deliver_(
+            {.service = service, .run = run, .result = result, .body = std::string{exchange.body}});
     };
     if (!client_->send(request, report).ok()) {
         deliver_({.service = order.service,
@@ -51,4 +52,20 @@
     }
 }
 
+void target_logic::count(task_result result, std::size_t sent_bytes, std::size_t answer_bytes) {
+    using telemetry::waste_cause;
+    if (result == task_result::not_sent) {
+        return;
+    }
+    constexpr std::uint64_t request_and_answer = 2;
+    metrics_->count_sent(telemetry::message_purpose::dispatch, request_and_answer,
+                         sent_bytes + answer_bytes);
+    if (result != task_result::answered) {
+        metrics_->count_wasted(result == task_result::busy   ? waste_cause::rejected
+                               : result == task_result::lost ? waste_cause::connection_lost
+                                                             : waste_cause::failed_attempt,
+                               request_and_answer);
+    }
+}
+
 } // namespace hawthornstall::entry
--- a/src/hawthornstall/entry/target_logic.hpp
+++ b/src/hawthornstall/entry/target_logic.hpp
@@ -4,6 +4,7 @@
 
 #include "hawthornstall/entry/shard.hpp"
 #include "hawthornstall/net/http_client.hpp"
+#include "hawthornstall/telemetry/entry_metrics.hpp"
 
 #include <functional>
 #include <memory>
@@ -34,13 +35,18 @@
     /// Receives the reports, on this task's thread.
     using receiver = std::function<void(task_report)>;
 
-    explicit target_logic(receiver deliver) : deliver_(std::move(deliver)) {}
+    /// `metrics` must outlive the task.
+    target_logic(receiver deliver, telemetry::entry_metrics* metrics)
+        : deliver_(std::move(deliver)), metrics_(metrics) {}
 
     void attach(runtime::event_loop& loop);
     void handle(const start_order& order);
 
 private:
+    void count(task_result result, std::size_t sent_bytes, std::size_t answer_bytes);
+
     receiver deliver_;
+    telemetry::entry_metrics* metrics_;
     std::unique_ptr<net::http_client> client_;
 };
 
--- a/src/programs/entryd/main.cpp
+++ b/src/programs/entryd/main.cpp
@@ -28,7 +28,7 @@
     telemetry::logger log{output};
     std::promise<void> stopped;
     auto has_stopped = stopped.get_future();
-    hawthornstall::entry::entry_host host{settings, [&stopped] {
+    hawthornstall::entry::entry_host host{settings, output, [&stopped] {
                                               stopped.set_value();
                                           }};
     log.write({.name = "entry_host_started", .peer = settings.name}, {{"zone", settings.zone}});
