Record the first attempts of a job's tasks in one append

The first record of a job now covers the first attempts of all tasks; further attempts keep records of their own. Ruled out: leaving tasks out that have not started, so that a new owner could still run them. It can't complete the job anyway, since results of single tasks are not replicated.

--- a/src/hawthornstall/entry/open_job.hpp
+++ b/src/hawthornstall/entry/open_job.hpp
@@ -6,6 +6,7 @@
 #include "hawthornstall/entry/reply_address.hpp"
 #include "hawthornstall/journal/records.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,9 +22,11 @@
     std::vector<reply_address> waiters;
     std::vector<std::string> results; ///< One per task, filled as tasks are answered.
     core::time_ms deadline{};
-    bool started = false;                ///< An attempt was decided.
-    bool registered = false;             ///< Its first records were appended.
-    std::optional<core::job_answer> end; ///< Decided, waits for the journal.
+    bool started = false;                 ///< An attempt was decided.
+    bool registered = false;              ///< Its first records were appended.
+    std::uint64_t start_append = 0;       ///< Append with the first attempts of all tasks.
+    std::vector<bool> first_attempt_used; ///< One per task: the recorded first attempt is taken.
+    std::optional<core::job_answer> end;  ///< Decided, waits for the journal.
 };
 
 } // namespace hawthornstall::entry
--- a/src/hawthornstall/entry/shard.cpp
+++ b/src/hawthornstall/entry/shard.cpp
@@ -119,6 +119,7 @@
     if (log_.state().find(key) != nullptr) {
         // An earlier owner registered it, and every attempt ended in a way that may be repeated.
         // Registering it under this epoch lets the table continue the count of its attempts.
+        job.first_attempt_used.assign(job.request.tasks.size(), true);
         take_journal_effects(log_.append(make_records(job), at.now).effects, at);
     }
     open(std::move(job), at);
@@ -131,6 +132,9 @@
     std::ranges::transform(job.request.tasks, run_times.begin(),
                            &core::task_request::declared_run_time);
     job.results.resize(task_count);
+    if (job.first_attempt_used.empty()) {
+        job.first_attempt_used.resize(task_count);
+    }
     if (job.submission) {
         by_submission_.emplace(*job.submission, number);
     }
--- a/src/hawthornstall/entry/shard.hpp
+++ b/src/hawthornstall/entry/shard.hpp
@@ -83,8 +83,9 @@
     };
     /// Starts of one turn, which share an append.
     struct start_batch {
-        std::vector<journal::job_records> records; ///< One per job.
-        std::vector<std::uint64_t> runs;
+        std::vector<journal::job_records> records;
+        std::vector<std::uint64_t> runs;       ///< Sent once the records are committed.
+        std::vector<std::uint64_t> registered; ///< Jobs whose first record is among the records.
     };
     struct waiting_job {
         core::job_request request;
@@ -117,6 +118,9 @@
     void record_starts(start_batch batch, times at);
     [[nodiscard]] running_task make_run(const scheduling::start_decision& start) const;
     [[nodiscard]] static journal::job_records make_records(open_job& job);
+    [[nodiscard]] static journal::job_records make_first_records(open_job& job);
+    void send_when_committed(std::uint64_t run, std::uint64_t sequence, times at);
+    void withdraw(const start_batch& batch, times at);
     void send_committed(std::uint64_t committed, times at);
     void send(std::uint64_t run, times at);
     void record_repeatable_end(const open_job& job, const running_task& ended, times at);
--- a/src/hawthornstall/entry/shard_dispatch.cpp
+++ b/src/hawthornstall/entry/shard_dispatch.cpp
@@ -122,24 +122,55 @@
 void shard::add_start(start_batch& batch, open_job& job, const scheduling::start_decision& start,
                       times at) {
     job.started = true;
-    // A registration that is in this batch is not in the log yet.
-    const auto attempt = log_.state().find(*job.submission) != nullptr
-                             ? table_.next_attempt(*job.submission, start.task)
-                             : std::optional<std::uint32_t>{1};
+    const auto run = detail::run_number(start.attempt);
+    auto running = make_run(start);
+    if (!job.registered) {
+        batch.records.push_back(make_first_records(job));
+        batch.registered.push_back(static_cast<std::uint64_t>(start.job));
+    }
+    if (!job.first_attempt_used[start.task]) {
+        job.first_attempt_used[start.task] = true;
+        running.recorded_attempt = 1;
+        runs_.insert_or_assign(run, std::move(running));
+        if (job.start_append == 0) {
+            batch.runs.push_back(run);
+        } else {
+            send_when_committed(run, job.start_append, at);
+        }
+        return;
+    }
+    const auto attempt = table_.next_attempt(*job.submission, start.task);
     if (!attempt) {
         scheduler_->not_sent(start.attempt, scheduling::not_sent_cause::journal, at.now);
         return;
     }
-    auto running = make_run(start);
     running.recorded_attempt = *attempt;
-    runs_.insert_or_assign(detail::run_number(start.attempt), std::move(running));
-    batch.runs.push_back(detail::run_number(start.attempt));
-    if (batch.records.empty() || batch.records.back().submission != *job.submission) {
-        batch.records.push_back(make_records(job));
-    }
+    runs_.insert_or_assign(run, std::move(running));
+    batch.runs.push_back(run);
+    batch.records.push_back(make_records(job));
     batch.records.back().starts.push_back({.task = start.task, .attempt = *attempt});
 }
 
+journal::job_records shard::make_first_records(open_job& job) {
+    // One record covers the first attempts of all tasks. A job is answered whole or not at all, so
+    // after a failover a job with one started task is lost as a whole anyway, and a record for each
+    // start would cost four messages a task.
+    auto records = make_records(job);
+    const auto task_count = static_cast<std::uint32_t>(job.request.tasks.size());
+    for (std::uint32_t task = 0; task < task_count; ++task) {
+        records.starts.push_back({.task = task, .attempt = 1});
+    }
+    return records;
+}
+
+void shard::send_when_committed(std::uint64_t run, std::uint64_t sequence, times at) {
+    if (sequence <= log_.committed()) {
+        send(run, at);
+    } else {
+        runs_by_append_[sequence].push_back(run);
+    }
+}
+
 journal::job_records shard::make_records(open_job& job) {
     journal::job_records records;
     records.submission = *job.submission;
@@ -153,17 +184,29 @@
 void shard::record_starts(start_batch batch, times at) {
     auto result = log_.append(batch.records, at.now);
     if (result.sequence == 0) {
-        for (const auto run : batch.runs) {
-            const auto attempt = runs_.at(run).attempt;
-            runs_.erase(run);
-            scheduler_->not_sent(attempt, scheduling::not_sent_cause::journal, at.now);
-        }
+        withdraw(batch, at);
     } else {
-        runs_by_append_.emplace(result.sequence, std::move(batch.runs));
+        for (const auto number : batch.registered) {
+            jobs_.at(number).start_append = result.sequence;
+        }
+        runs_by_append_[result.sequence] = std::move(batch.runs);
     }
     take_journal_effects(std::move(result.effects), at);
 }
 
+void shard::withdraw(const start_batch& batch, times at) {
+    for (const auto number : batch.registered) {
+        auto& job = jobs_.at(number);
+        job.registered = false;
+        job.first_attempt_used.assign(job.request.tasks.size(), false);
+    }
+    for (const auto run : batch.runs) {
+        const auto attempt = runs_.at(run).attempt;
+        runs_.erase(run);
+        scheduler_->not_sent(attempt, scheduling::not_sent_cause::journal, at.now);
+    }
+}
+
 void shard::send_committed(std::uint64_t committed, times at) {
     while (!runs_by_append_.empty() && runs_by_append_.begin()->first <= committed) {
         const auto runs = std::move(runs_by_append_.begin()->second);
