Remove the second liveness check of entry hosts

Cause: membership had a heartbeat state machine that nothing used; the peer links ping and report silence already, on the same 500 ms and 1,500 ms. The choice of an owner stays in membership and is now what the entry host calls.

--- a/src/hawthornstall/entry/host_directory.cpp
+++ b/src/hawthornstall/entry/host_directory.cpp
@@ -1,5 +1,7 @@
 #include "hawthornstall/entry/host_directory.hpp"
 
+#include "hawthornstall/membership/ownership.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -77,8 +79,7 @@
             candidates.push_back({name, state.host.weight});
         }
     }
-    const auto chosen = core::pick_owner(service, candidates);
-    return chosen && candidates[*chosen].name == self_.name;
+    return membership::owner_of(service, self_.zone, candidates) == self_.name;
 }
 
 bool host_directory::has_settled(core::time_ms now) const {
--- a/src/hawthornstall/membership/messages.hpp
+++ b/src/hawthornstall/membership/messages.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Messages between entry hosts about their own liveness and about the targets of a zone.
+/// Messages between entry hosts about the targets of a zone.
 
 #include "hawthornstall/core/ms_clock.hpp"
 #include "hawthornstall/core/target.hpp"
@@ -23,11 +23,6 @@
     bool operator==(const clock_sample&) const = default;
 };
 
-/// Shows that the sender is alive, when there was nothing else to send.
-struct heartbeat {
-    bool operator==(const heartbeat&) const = default;
-};
-
 /// New content of one row of the sender's target table; empty when the row was removed.
 struct table_change {
     std::uint32_t slot = 0;
@@ -79,8 +74,8 @@
 };
 
 /// Any message of this area.
-using message = std::variant<heartbeat, target_delta, target_digest, target_state_request,
-                             target_state, target_correction>;
+using message = std::variant<target_delta, target_digest, target_state_request, target_state,
+                             target_correction>;
 
 /// Resolution of ages in deltas. One byte per target keeps 278 targets in a zone of 7 hosts
 /// within the control budget.
--- a/src/hawthornstall/membership/target_registry.hpp
+++ b/src/hawthornstall/membership/target_registry.hpp
@@ -142,11 +142,6 @@
     using peer_map = std::map<std::string, peer_state, std::less<>>;
     using peer_item = typename peer_map::value_type;
 
-    registry_effects take(peer_item& /*peer*/, const heartbeat& /*content*/,
-                          core::time_ms /*now*/) {
-        return {};
-    }
-
     registry_effects take(peer_item& peer, const target_delta& delta, core::time_ms now) {
         auto& [name, state] = peer;
         const auto start = lease_start(state, delta.clock, now);
--- a/src/hawthornstall/membership/wire_layouts.hpp
+++ b/src/hawthornstall/membership/wire_layouts.hpp
@@ -31,8 +31,6 @@
                    &membership::clock_sample::echo_sent_at, &membership::clock_sample::echo_age};
 };
 
-template <> struct layout<membership::heartbeat> { static constexpr auto members = std::tuple{}; };
-
 template <> struct layout<membership::table_change> {
     static constexpr auto members =
         std::tuple{&membership::table_change::slot, &membership::table_change::content};
--- a/tests/hawthornstall/membership/control_bytes_test.cpp
+++ b/tests/hawthornstall/membership/control_bytes_test.cpp
@@ -162,10 +162,8 @@
 TEST_CASE("messages survive a round trip") {
     const clock_sample clock{core::from_count(7), 3, core::from_count(5), core::duration_ms{2}};
     const std::vector<table_change> changes{{4, announcement(1, 1)}, {5, std::nullopt}};
-    const std::array<message, 6> samples{heartbeat{},
-                                         target_delta{clock, 8, 9, changes, "\x01\xff"},
-                                         target_digest{9, 10},
-                                         target_state_request{},
+    const std::array<message, 5> samples{target_delta{clock, 8, 9, changes, "\x01\xff"},
+                                         target_digest{9, 10}, target_state_request{},
                                          target_state{clock, 9, changes, "\x02"},
                                          target_correction{{announcement(2, 2)}}};
     for (const auto& sample : samples) {
