--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -37,6 +37,9 @@
     set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
 endfunction()
 
+# All unit tests; the sanitizer builds leave programs, tools and benchmarks out.
+add_custom_target(unit_tests)
+
 # hawthornstall_test(<area> [DEPENDS <targets>...])
 # Builds tests/hawthornstall/<area>/*.cpp as one doctest program.
 function(hawthornstall_test area)
@@ -50,6 +53,7 @@
     target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
     target_link_libraries(${target} PRIVATE
         hawthornstall::${area} ${arg_DEPENDS} doctest::doctest hawthornstall_flags)
+    add_dependencies(unit_tests ${target})
     add_test(NAME ${target} COMMAND ${target})
     set_tests_properties(${target} PROPERTIES TIMEOUT 300)
 endfunction()
