--- /dev/null
+++ b/src/hawthornstall/entry/authorize_edit.cpp
@@ -0,0 +1,23 @@
+#include "hawthornstall/entry/authorize_edit.hpp"
+
+#include "hawthornstall/core/error.hpp"
+#include "hawthornstall/entry/authenticate.hpp"
+
+#include <utility>
+
+namespace hawthornstall::entry {
+
+absl::StatusOr<authorized_edit> authorize_edit::operator()(const arrived_edit& edit) const {
+    auto holder = find_principal(credentials_, edit.authorization);
+    if (!holder.ok()) {
+        return holder.status();
+    }
+    if (holder->kind != settings::role::team) {
+        return core::make_error(absl::StatusCode::kPermissionDenied,
+                                {.step = "authorize_edit", .peer = {}},
+                                "only a team's token edits documents");
+    }
+    return authorized_edit{.edit = edit, .editor = *std::move(holder)};
+}
+
+} // namespace hawthornstall::entry
--- a/src/hawthornstall/entry/front_logic.cpp
+++ b/src/hawthornstall/entry/front_logic.cpp
@@ -7,8 +7,6 @@
 #include "hawthornstall/http/target_body.hpp"
 #include "hawthornstall/settings/service_document_json.hpp"
 
-#include <charconv>
-#include <optional>
 #include <stdexcept>
 #include <utility>
 
@@ -42,16 +40,6 @@
                             "this entry host is overloaded; nothing ran");
 }
 
-std::optional<std::uint64_t> parse_version(std::string_view text) {
-    std::uint64_t version = 0;
-    const char* const end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, version);
-    if (text.empty() || result.ec != std::errc{} || result.ptr != end) {
-        return std::nullopt;
-    }
-    return version;
-}
-
 std::string_view result_name(control::edit_result result) {
     switch (result) {
     case control::edit_result::accepted:
@@ -98,7 +86,8 @@
                          telemetry::entry_metrics* metrics, std::function<void()> on_idle)
     : options_(std::move(options)), to_dispatcher_(std::move(to_dispatcher)), metrics_(metrics),
       on_idle_(std::move(on_idle)), pipeline_(authenticate{options_.credentials}, decode_call{},
-                                              resolve_service{&documents_}, check_limits{}) {}
+                                              resolve_service{&documents_}, check_limits{}),
+      edit_pipeline_(authorize_edit{options_.credentials}, decode_edit{options_.host}) {}
 
 void front_logic::attach(runtime::event_loop& loop) {
     server_ = std::make_unique<net::http_server>(
@@ -201,41 +190,16 @@
 }
 
 void front_logic::receive_edit(const net::http_request& request, std::string_view service) {
-    constexpr core::error_origin origin{.step = "edit_document", .peer = {}};
-    const auto holder = find_principal(options_.credentials, request.authorization);
-    if (!holder.ok()) {
-        answer_error(request.number, holder.status());
-        return;
-    }
-    if (holder->kind != settings::role::team) {
-        answer_error(request.number, core::make_error(absl::StatusCode::kPermissionDenied, origin,
-                                                      "only a team's token edits documents"));
-        return;
-    }
-    const auto base = detail::parse_version(request.header("If-Match"));
-    const auto edit_id = request.header("X-Edit-Id");
-    if (!base || edit_id.empty()) {
-        answer_error(request.number,
-                     core::make_error(absl::StatusCode::kInvalidArgument, origin,
-                                      "send the headers If-Match: <version, 0 to create> and "
-                                      "X-Edit-Id: <identifier of this edit>"));
-        return;
-    }
-    auto document = settings::parse_service_document(request.body);
-    if (!document.ok()) {
-        answer_error(request.number, document.status());
+    auto edit = edit_pipeline_(arrived_edit{.authorization = request.authorization,
+                                            .service = service,
+                                            .base_version = request.header("If-Match"),
+                                            .edit_id = request.header("X-Edit-Id"),
+                                            .body = request.body});
+    if (!edit.ok()) {
+        answer_error(request.number, edit.status());
         return;
     }
-    forward(request, edit_arrived{address_of(request), control::edit_command{
-                                                           .edit_id = std::string{edit_id},
-                                                           .service = std::string{service},
-                                                           .base_version = *base,
-                                                           .document = *std::move(document),
-                                                           .actor = holder->name,
-                                                           .actor_team = holder->team,
-                                                           .wall_time = core::ms_clock::wall_now(),
-                                                           .host = options_.host,
-                                                       }});
+    forward(request, edit_arrived{address_of(request), *std::move(edit)});
 }
 
 void front_logic::receive_view(const net::http_request& request, core::view_kind kind) {
--- a/src/hawthornstall/entry/front_logic.hpp
+++ b/src/hawthornstall/entry/front_logic.hpp
@@ -3,8 +3,10 @@
 /// Loop task of one HTTP front end: decodes, runs the caller pipeline, answers.
 
 #include "hawthornstall/entry/authenticate.hpp"
+#include "hawthornstall/entry/authorize_edit.hpp"
 #include "hawthornstall/entry/check_limits.hpp"
 #include "hawthornstall/entry/decode_call.hpp"
+#include "hawthornstall/entry/decode_edit.hpp"
 #include "hawthornstall/entry/dispatcher_messages.hpp"
 #include "hawthornstall/entry/resolve_service.hpp"
 #include "hawthornstall/net/http_server.hpp"
@@ -48,6 +50,8 @@
     using caller_pipeline =
         pipeline::pipe<authenticate, decode_call, resolve_service, check_limits>;
 
+    using edit_pipeline = pipeline::pipe<authorize_edit, decode_edit>;
+
     /// A caller's job that waits for the dispatcher.
     struct open_call {
         std::string service;
@@ -83,6 +87,7 @@
     resolve_service::document_source documents_;
     std::unordered_map<std::uint64_t, open_call> open_calls_;
     caller_pipeline pipeline_;
+    edit_pipeline edit_pipeline_;
     std::unique_ptr<net::http_server> server_;
 };
 
