Compare the generation before joining a resubmission to a running job

Cause: running jobs are found by issue time and key; an identifier of another generation with the same two would have been joined to them in place of being refused as 'may have run'. entry_test passes.

--- a/src/hawthornstall/entry/shard.cpp
+++ b/src/hawthornstall/entry/shard.cpp
@@ -99,7 +99,8 @@
                              core::time_ms deadline, times at) {
     const auto digest = journal::digest_of(request);
     const auto key = journal::key_of(*request.id);
-    if (const auto found = by_submission_.find(key); found != by_submission_.end()) {
+    const bool is_current = request.id->generation == log_.generation();
+    if (const auto found = by_submission_.find(key); is_current && found != by_submission_.end()) {
         attach(jobs_.at(found->second), digest, reply_to, deadline, at);
         return;
     }
