--- a/scripts/cluster.bash
+++ b/scripts/cluster.bash
@@ -12,7 +12,8 @@
 declare -A ZONE=([a1]=zone-a [a2]=zone-a [a3]=zone-a [b1]=zone-b [b2]=zone-b)
 declare -A REPLICAS=([zone-a]='["a1","a2","a3"]' [zone-b]='["b1","b2","a1"]')
 
-next_port=$((20000 + RANDOM % 8000))
+# PORT_BASE keeps clusters that run at the same time apart.
+next_port=${PORT_BASE:-$((20000 + RANDOM % 8000))}
 # Prints nothing and sets FREE_PORT to a port on which nothing listens.
 free_port() {
     while :; do
