--- a/src/hawthornstall/control/applied_documents.cpp
+++ b/src/hawthornstall/control/applied_documents.cpp
@@ -19,6 +19,9 @@
         // The views point into the caller's delta: inserting moves the documents of the copy.
         changed.emplace_back(document.service);
     }
+    if (delta.numbered && delta.numbered->version > numbered_.version) {
+        numbered_ = *delta.numbered;
+    }
     // A delta that starts later leaves a gap, which the next digest shows.
     if (delta.from_revision <= revision_) {
         revision_ = std::max(revision_, delta.to_revision);
--- a/src/hawthornstall/control/applied_documents.hpp
+++ b/src/hawthornstall/control/applied_documents.hpp
@@ -43,6 +43,9 @@
     /// All documents, sorted by service.
     [[nodiscard]] std::span<const core::service_document> documents() const { return documents_; }
 
+    /// The numbered configuration in force on this host; version 0 before the first.
+    [[nodiscard]] const numbered_config& numbered() const noexcept { return numbered_; }
+
     /// Revision up to which every change is applied.
     [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
 
@@ -53,12 +56,13 @@
 
     /// The copy as one delta from revision 0, for the data folder. Apply it after a restart; it is
     /// unconfirmed until the next digest.
-    [[nodiscard]] config_delta saved() const { return {0, revision_, documents_}; }
+    [[nodiscard]] config_delta saved() const { return {0, revision_, documents_, numbered_}; }
 
 private:
     core::duration_ms stale_after_;
     std::uint64_t revision_ = 0;
     std::vector<core::service_document> documents_;
+    numbered_config numbered_;
     std::optional<core::time_ms> last_confirmed_;
 };
 
--- a/src/hawthornstall/control/config_replica.hpp
+++ b/src/hawthornstall/control/config_replica.hpp
@@ -17,8 +17,9 @@
 /// What a replica needs of the state it replicates.
 template <class Store>
 concept replicated_store = requires(Store store, const Store& reader, const edit_command& edit,
-                                    store_snapshot snapshot) {
+                                    const numbered_config& config, store_snapshot snapshot) {
     { store.apply(edit) } -> std::same_as<edit_answer>;
+    { store.apply(config) } -> std::same_as<edit_answer>;
     { reader.snapshot() } -> std::same_as<store_snapshot>;
     { reader.revision() } -> std::convertible_to<std::uint64_t>;
     store.restore(std::move(snapshot));
@@ -59,8 +60,8 @@
     void tick(core::time_ms now) { node_.tick(now); }
 
     /// False when this replica is not the leader. Otherwise a later finish() ends `token`.
-    [[nodiscard]] bool submit(edit_command edit, std::uint64_t token) {
-        const auto position = node_.propose(std::move(edit));
+    [[nodiscard]] bool submit(entry_payload change, std::uint64_t token) {
+        const auto position = node_.propose(std::move(change));
         if (position) {
             pending_[position->index] = {.term = position->term, .token = token};
         }
@@ -120,6 +121,8 @@
         std::optional<edit_answer> answer;
         if (const auto* const edit = std::get_if<edit_command>(&entry.payload)) {
             answer = store_.apply(*edit);
+        } else if (const auto* const config = std::get_if<numbered_config>(&entry.payload)) {
+            answer = store_.apply(*config);
         }
         const auto pending = pending_.find(entry.position.index);
         if (pending != pending_.end()) {
--- a/src/hawthornstall/control/consensus_node.hpp
+++ b/src/hawthornstall/control/consensus_node.hpp
@@ -53,7 +53,7 @@
 
     /// Position of the new entry; empty when this member is not the leader. The edit is accepted
     /// for replication once an entry with exactly this position is committed.
-    [[nodiscard]] std::optional<log_position> propose(edit_command edit);
+    [[nodiscard]] std::optional<log_position> propose(entry_payload change);
 
     /// Empty when this member is not the leader or has not committed in its term yet.
     [[nodiscard]] std::optional<read_ticket> start_read(core::time_ms now);
--- a/src/hawthornstall/control/consensus_settings.hpp
+++ b/src/hawthornstall/control/consensus_settings.hpp
@@ -13,6 +13,8 @@
 /// Settings of one member. All members of a cluster use the same ones.
 struct consensus_settings {
     std::vector<std::string> hosts;         ///< Control hosts that may join, and found a cluster.
+    bool may_found = true;                  ///< False: joins an existing cluster only.
+    bool accept_unlisted = false;           ///< Hosts that are not among `hosts` may join as well.
     core::duration_ms heartbeat_every{200}; ///< Five are lost before an election starts.
     /// A follower waits for this long, plus a random part of the same length, before an election.
     core::duration_ms election_timeout{1'000};
--- a/src/hawthornstall/control/consensus_types.hpp
+++ b/src/hawthornstall/control/consensus_types.hpp
@@ -4,6 +4,7 @@
 
 #include "hawthornstall/control/document_edit.hpp"
 #include "hawthornstall/control/document_store.hpp"
+#include "hawthornstall/control/numbered_config.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -39,7 +40,8 @@
     bool operator==(const no_operation&) const = default;
 };
 
-using entry_payload = std::variant<no_operation, edit_command, member_set>;
+/// The order of the alternatives is part of the file and wire format: new ones go to the end.
+using entry_payload = std::variant<no_operation, edit_command, member_set, numbered_config>;
 
 /// Place in the log; index 0 with term 0 is the place before the first entry.
 struct log_position {
--- /dev/null
+++ b/src/hawthornstall/control/control_gateway.hpp
@@ -0,0 +1,189 @@
+#pragma once
+
+/// Loop task that serves operators and targets of a control host over HTTP. It owns the listening
+/// socket and the open requests, and reaches control_logic by messages.
+
+#include "hawthornstall/control/control_logic.hpp"
+#include "hawthornstall/net/http_server.hpp"
+#include "hawthornstall/runtime/event_loop.hpp"
+#include "hawthornstall/runtime/mailbox.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace hawthornstall::control {
+
+/// A request that the gateway does not pass on to control_logic.
+struct answered_request {
+    int status = 404;
+    std::string body;
+};
+
+/// Puts a configuration in force.
+struct put_request {
+    numbered_config config;
+};
+
+/// Reads the configuration in force.
+struct read_request {};
+
+/// A target announces itself.
+struct announce_request {
+    discovery::target_record record;
+};
+
+/// A target ends.
+struct depart_request {
+    std::string target;
+};
+
+using gateway_request =
+    std::variant<answered_request, put_request, read_request, announce_request, depart_request>;
+
+/// What the gateway needs of a protocol: pure functions between HTTP and the types above.
+template <class Codec>
+concept gateway_codec = requires(Codec codec, const net::http_request& request,
+                                 const local_put_ended& put, const local_read_ended& read) {
+    { codec.decode(request) } -> std::same_as<gateway_request>;
+    { codec.answer_to(put) } -> std::same_as<answered_request>;
+    { codec.answer_to(read) } -> std::same_as<answered_request>;
+    { codec.accepted() } -> std::same_as<answered_request>;
+};
+
+/// Something worth a log record.
+struct gateway_event {
+    std::string_view what; ///< For example "config_put_ended".
+    std::string detail;
+    int status = 0;
+};
+
+/// Operators turn to another host after a second without an answer.
+constexpr core::duration_ms gateway_timeout{900};
+
+/// Interval at which overdue requests are answered.
+constexpr core::duration_ms gateway_check_interval{100};
+
+template <gateway_codec Codec> class control_gateway {
+public:
+    using message = gateway_message;
+    using observer = std::function<void(const gateway_event&)>;
+
+    control_gateway(std::string address, net::http_server_limits limits,
+                    runtime::address<control_logic::message> logic, observer report)
+        : address_(std::move(address)), limits_(limits), logic_(std::move(logic)),
+          report_(std::move(report)) {}
+
+    /// Throws std::runtime_error when the address cannot be listened on.
+    void attach(runtime::event_loop& loop) {
+        server_ = std::make_unique<net::http_server>(
+            loop, address_, limits_, [this](const net::http_request& request) { take(request); });
+        if (const auto status = server_->start(); !status.ok()) {
+            throw std::runtime_error{core::describe(status)};
+        }
+        check_event_ = loop.every(gateway_check_interval, [this] { answer_overdue(); });
+    }
+
+    void handle(message input) {
+        std::visit([this](const auto& content) { finish(content.number, codec_.answer_to(content)); },
+                   input);
+    }
+
+private:
+    struct waiting_request {
+        core::time_ms due{};
+        answered_request late_answer;
+    };
+
+    void take(const net::http_request& request) {
+        auto decoded = codec_.decode(request);
+        std::visit([&](auto& content) { serve(request.number, std::move(content)); }, decoded);
+    }
+
+    void serve(std::uint64_t number, const answered_request& request) {
+        if (request.status >= error_status) {
+            report_({"request_refused", request.body, request.status});
+        }
+        send(number, request);
+    }
+
+    void serve(std::uint64_t number, put_request request) {
+        wait_for(number, codec_.answer_to(local_put_ended{number, std::nullopt}));
+        report_({"config_put", "version " + std::to_string(request.config.version), 0});
+        pass_on(number, local_config_put{number, std::move(request.config)});
+    }
+
+    void serve(std::uint64_t number, const read_request& /*request*/) {
+        wait_for(number, codec_.answer_to(local_read_ended{number, std::nullopt}));
+        pass_on(number, local_config_read{number});
+    }
+
+    void serve(std::uint64_t number, announce_request request) {
+        if (logic_->post(local_announcement{std::move(request.record)})) {
+            send(number, codec_.accepted());
+        } else {
+            send(number, {.status = overloaded_status, .body = "{}"});
+        }
+    }
+
+    void serve(std::uint64_t number, depart_request request) {
+        report_({"target_departed", request.target, 0});
+        if (logic_->post(local_departure{std::move(request.target)})) {
+            send(number, codec_.accepted());
+        } else {
+            send(number, {.status = overloaded_status, .body = "{}"});
+        }
+    }
+
+    void wait_for(std::uint64_t number, answered_request late_answer) {
+        waiting_[number] = {core::ms_clock::now() + gateway_timeout, std::move(late_answer)};
+    }
+
+    template <class Input> void pass_on(std::uint64_t number, Input input) {
+        if (!logic_->post(std::move(input))) {
+            finish(number, waiting_.at(number).late_answer);
+        }
+    }
+
+    void finish(std::uint64_t number, const answered_request& answer) {
+        if (waiting_.erase(number) > 0) {
+            report_({"config_request_ended", {}, answer.status});
+            send(number, answer);
+        }
+    }
+
+    void send(std::uint64_t number, const answered_request& answer) {
+        (void)server_->answer(number, {.status = answer.status, .body = answer.body});
+    }
+
+    void answer_overdue() {
+        const auto now = core::ms_clock::now();
+        while (!waiting_.empty() && waiting_.begin()->second.due <= now) {
+            const auto overdue = *waiting_.begin();
+            finish(overdue.first, overdue.second.late_answer);
+        }
+    }
+
+    static constexpr int error_status = 400;
+    static constexpr int overloaded_status = 503;
+
+    std::string address_;
+    net::http_server_limits limits_;
+    runtime::address<control_logic::message> logic_;
+    observer report_;
+    Codec codec_;
+    std::unique_ptr<net::http_server> server_;
+    std::map<std::uint64_t, waiting_request> waiting_; ///< Ordered by arrival, thus by time limit.
+    runtime::event_handle check_event_;
+};
+
+} // namespace hawthornstall::control
--- a/src/hawthornstall/control/control_logic.cpp
+++ b/src/hawthornstall/control/control_logic.cpp
@@ -41,8 +41,82 @@
 
 } // namespace detail
 
-control_logic::control_logic(control_options options, observer report)
-    : options_(std::move(options)), report_(std::move(report)) {}
+control_logic::control_logic(control_options options, observer report,
+                             runtime::address<gateway_message> gateway)
+    : options_(std::move(options)), report_(std::move(report)), gateway_(std::move(gateway)) {}
+
+void control_logic::handle(message input) {
+    if (service_ != nullptr) {
+        std::visit([this](auto& content) { take(std::move(content)); }, input);
+        finish_soon();
+    }
+}
+
+void control_logic::take(local_config_put input) {
+    input.config.host = options_.self.name;
+    service_->receive_from_entry(
+        options_.self.name,
+        numbered_request{.number = input.number, .config = std::move(input.config)},
+        core::ms_clock::now());
+}
+
+void control_logic::take(const local_config_read& input) {
+    service_->receive_from_entry(options_.self.name, numbered_read{.number = input.number},
+                                 core::ms_clock::now());
+}
+
+void control_logic::take(const local_announcement& input) {
+    service_->announce(input.record, core::ms_clock::now());
+}
+
+void control_logic::take(const local_departure& input) {
+    service_->leave(input.target, core::ms_clock::now());
+}
+
+void control_logic::take(const control_hosts_changed& input) {
+    for (const auto& host : input.hosts) {
+        links_->add({.name = host, .address = host});
+    }
+}
+
+/// Replies to this host's own requests go to the task that made them.
+void control_logic::tell_gateway(control_to_entry message) {
+    if (gateway_ == nullptr) {
+        return;
+    }
+    // A full mailbox is made up for by the time limit of the request.
+    if (const auto* const put = std::get_if<edit_reply>(&message)) {
+        (void)gateway_->post(local_put_ended{put->number, put->answer});
+    } else if (auto* const read = std::get_if<numbered_state>(&message)) {
+        (void)gateway_->post(local_read_ended{read->number, std::move(read->config)});
+    }
+}
+
+void control_logic::send_to_control(const std::string& host, const control_to_control& message) {
+    if (!options_.control_port_suffix.empty()) {
+        links_->add({.name = host, .address = host});
+    }
+    // A message to an unreachable host is dropped: senders resend on a timer.
+    (void)links_->send(host, wire::encode(message));
+}
+
+void control_logic::note_control_hosts() {
+    std::vector<std::string> hosts{reachable_control_hosts_.begin(),
+                                   reachable_control_hosts_.end()};
+    hosts.push_back(options_.self.name);
+    service_->set_control_hosts(std::move(hosts));
+}
+
+bool control_logic::is_control_host(std::string_view name) const {
+    return options_.control_port_suffix.empty()
+               ? detail::is_named(options_.control_hosts, name)
+               : name.ends_with(options_.control_port_suffix);
+}
+
+bool control_logic::is_entry_host(std::string_view name) const {
+    return options_.control_port_suffix.empty() ? detail::is_named(options_.entry_hosts, name)
+                                                : !is_control_host(name);
+}
 
 void control_logic::attach(runtime::event_loop& loop) {
     loop_ = &loop;
@@ -77,6 +151,7 @@
         throw std::runtime_error{core::describe(replica.status())};
     }
     service_ = std::make_unique<control_service<file_storage>>(std::move(*replica));
+    note_control_hosts();
 }
 
 void control_logic::receive(std::string_view peer, std::string_view body) {
@@ -85,11 +160,11 @@
     }
     const auto now = core::ms_clock::now();
     // Messages that cannot be decoded are dropped: their senders resend on a timer.
-    if (detail::is_named(options_.control_hosts, peer)) {
+    if (is_control_host(peer)) {
         if (auto message = wire::decode<control_to_control>(body); message.ok()) {
             service_->receive_from_control(peer, std::move(*message), now);
         }
-    } else if (detail::is_named(options_.entry_hosts, peer)) {
+    } else if (is_entry_host(peer)) {
         if (auto message = wire::decode<entry_to_control>(body); message.ok()) {
             service_->receive_from_entry(peer, std::move(*message), now);
         }
@@ -101,7 +176,17 @@
     report_(
         {reachable ? control_event::kind::peer_reachable : control_event::kind::peer_unreachable,
          std::string{peer}});
-    if (!reachable && service_ != nullptr) {
+    if (service_ == nullptr) {
+        return;
+    }
+    if (is_control_host(peer)) {
+        if (reachable) {
+            reachable_control_hosts_.emplace(peer);
+        } else {
+            reachable_control_hosts_.erase(std::string{peer});
+        }
+        note_control_hosts();
+    } else if (!reachable) {
         service_->entry_unreachable(peer);
     }
 }
@@ -132,12 +217,15 @@
         report_({control_event::kind::failed, core::describe(output.status())});
         return;
     }
-    // A message to an unreachable host is dropped: senders resend on a timer.
     for (const auto& [host, message] : output->to_control) {
-        (void)links_->send(host, wire::encode(message));
+        send_to_control(host, message);
     }
-    for (const auto& [host, message] : output->to_entry) {
-        (void)links_->send(host, wire::encode(message));
+    for (auto& [host, message] : output->to_entry) {
+        if (host == options_.self.name) {
+            tell_gateway(std::move(message));
+        } else {
+            (void)links_->send(host, wire::encode(message));
+        }
     }
     const auto role = service_->replica().node().vote_state().role();
     if (std::exchange(last_role_, role) != role) {
--- a/src/hawthornstall/control/control_logic.hpp
+++ b/src/hawthornstall/control/control_logic.hpp
@@ -7,12 +7,16 @@
 #include "hawthornstall/control/file_storage.hpp"
 #include "hawthornstall/net/peer_links.hpp"
 #include "hawthornstall/runtime/event_loop.hpp"
+#include "hawthornstall/runtime/mailbox.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace hawthornstall::control {
@@ -24,8 +28,51 @@
     std::vector<net::peer_endpoint> entry_hosts;
     consensus_settings consensus;
     std::string data_folder;
+    /// ":port" that the names of control hosts end with. Empty: all hosts are listed above.
+    std::string control_port_suffix;
 };
 
+/// Asks for a numbered configuration to be put in force.
+struct local_config_put {
+    std::uint64_t number = 0;
+    numbered_config config;
+};
+
+/// Asks for the numbered configuration in force.
+struct local_config_read {
+    std::uint64_t number = 0;
+};
+
+/// A target announced itself to this host.
+struct local_announcement {
+    discovery::target_record record;
+};
+
+/// A target told this host that it ends.
+struct local_departure {
+    std::string target;
+};
+
+/// Control hosts that the settings name now.
+struct control_hosts_changed {
+    std::vector<std::string> hosts;
+};
+
+/// Answer to local_config_put; without an answer the change is undecided.
+struct local_put_ended {
+    std::uint64_t number = 0;
+    std::optional<edit_answer> answer;
+};
+
+/// Answer to local_config_read; without one no quorum could confirm it.
+struct local_read_ended {
+    std::uint64_t number = 0;
+    std::optional<numbered_config> config;
+};
+
+/// What the task that serves operators and targets is told.
+using gateway_message = std::variant<local_put_ended, local_read_ended>;
+
 /// Something worth a log record.
 struct control_event {
     enum class kind : std::uint8_t {
@@ -39,21 +86,33 @@
     std::string detail;
 };
 
-/// Runs control_service on a loop task. There are no messages from other tasks of the process.
+/// Runs control_service on a loop task.
 class control_logic {
 public:
-    struct message {};
+    using message = std::variant<local_config_put, local_config_read, local_announcement,
+                                 local_departure, control_hosts_changed>;
 
     /// Receives events on this task's thread.
     using observer = std::function<void(const control_event&)>;
 
-    control_logic(control_options options, observer report);
+    control_logic(control_options options, observer report,
+                  runtime::address<gateway_message> gateway = nullptr);
 
     /// Opens the data folder and the links. Throws std::runtime_error when either fails.
     void attach(runtime::event_loop& loop);
-    void handle(message /*unused*/) {}
+    void handle(message input);
 
 private:
+    void take(local_config_put input);
+    void take(const local_config_read& input);
+    void take(const local_announcement& input);
+    void take(const local_departure& input);
+    void take(const control_hosts_changed& input);
+    void tell_gateway(control_to_entry message);
+    void send_to_control(const std::string& host, const control_to_control& message);
+    void note_control_hosts();
+    [[nodiscard]] bool is_control_host(std::string_view name) const;
+    [[nodiscard]] bool is_entry_host(std::string_view name) const;
     void open_storage();
     void receive(std::string_view peer, std::string_view body);
     void notice(std::string_view peer, bool reachable);
@@ -63,6 +122,8 @@
 
     control_options options_;
     observer report_;
+    runtime::address<gateway_message> gateway_; ///< Null: nothing is served locally.
+    std::set<std::string, std::less<>> reachable_control_hosts_;
     runtime::event_loop* loop_ = nullptr;
     std::unique_ptr<net::peer_links> links_;
     std::unique_ptr<control_service<file_storage>> service_;
--- a/src/hawthornstall/control/control_messages.hpp
+++ b/src/hawthornstall/control/control_messages.hpp
@@ -13,13 +13,13 @@
 /// A request of an entry host that only the leader can answer.
 struct forwarded_request {
     std::string entry_host;
-    std::variant<edit_request, audit_request> request;
+    std::variant<edit_request, audit_request, numbered_request, numbered_read> request;
 };
 
 /// The leader's reply, for the entry host whose request was forwarded.
 struct forwarded_reply {
     std::string entry_host;
-    std::variant<edit_reply, audit_reply> reply;
+    std::variant<edit_reply, audit_reply, numbered_state> reply;
 };
 
 /// The order of the alternatives is part of the wire format: new ones go to the end.
--- a/src/hawthornstall/control/control_service.hpp
+++ b/src/hawthornstall/control/control_service.hpp
@@ -4,6 +4,7 @@
 
 #include "hawthornstall/control/config_replica.hpp"
 #include "hawthornstall/control/control_messages.hpp"
+#include "hawthornstall/discovery/announcement_relay.hpp"
 
 #include <map>
 #include <optional>
@@ -56,7 +57,19 @@
     }
 
     /// A subscriber that cannot be reached subscribes again when it returns.
-    void entry_unreachable(std::string_view host) { subscribers_.erase(std::string{host}); }
+    void entry_unreachable(std::string_view host) {
+        subscribers_.erase(std::string{host});
+        relay_.unreachable(host);
+    }
+
+    /// Takes what targets say of themselves.
+    void announce(const discovery::target_record& record, core::time_ms now) {
+        relay_.announce(record, now);
+    }
+    void leave(std::string_view target, core::time_ms now) { relay_.leave(target, now); }
+
+    /// Control hosts that entry hosts are told of.
+    void set_control_hosts(std::vector<std::string> hosts) { control_hosts_ = std::move(hosts); }
 
     void tick(core::time_ms now) {
         replica_.tick(now);
@@ -64,6 +77,13 @@
             next_digest_ = now + digest_interval;
             digest_due_ = true;
         }
+        for (auto& message : relay_.tick(now, control_hosts_)) {
+            std::visit(
+                [&](auto& content) {
+                    output_.to_entry.push_back({message.host, std::move(content)});
+                },
+                message.content);
+        }
     }
 
     /// After an error the service must stop.
@@ -105,7 +125,7 @@
 
     struct waiting_read {
         requester from;
-        audit_request request;
+        std::variant<audit_request, numbered_read> request;
         read_ticket ticket;
     };
 
@@ -129,6 +149,11 @@
         push_delta(std::string{host}, subscribers_[std::string{host}]);
     }
 
+    void handle_entry(std::string_view /*host*/, discovery::host_hello message,
+                      core::time_ms /*now*/) {
+        relay_.hello(message.host);
+    }
+
     template <class Request>
     void handle_entry(std::string_view host, Request request, core::time_ms now) {
         serve({.entry_host = std::string{host}, .via = std::nullopt}, std::move(request), now);
@@ -154,12 +179,29 @@
         }
     }
 
-    void start(requester from, audit_request request, core::time_ms now) {
+    void start(requester from, numbered_request request, core::time_ms /*now*/) {
+        const auto token = ++last_token_;
+        if (replica_.submit(std::move(request.config), token)) {
+            edits_[token] = {std::move(from), request.number};
+        }
+    }
+
+    template <class Read> void start(requester from, Read request, core::time_ms now) {
         if (const auto ticket = replica_.node().start_read(now)) {
             reads_.push_back({std::move(from), request, *ticket});
+        } else {
+            refuse(from, request);
         }
     }
 
+    void refuse(const requester& from, const numbered_read& request) {
+        reply(from, numbered_state{.number = request.number, .config = std::nullopt});
+    }
+
+    void refuse(const requester& from, const numbered_request& request) {
+        reply(from, edit_reply{.number = request.number, .answer = std::nullopt});
+    }
+
     void refuse(const requester& from, const edit_request& request) {
         reply(from, edit_reply{.number = request.number, .answer = std::nullopt});
     }
@@ -167,7 +209,7 @@
     /// An audit request has no undecided answer; the entry host asks again.
     void refuse(const requester& /*from*/, const audit_request& /*request*/) {}
 
-    void reply(const requester& to, std::variant<edit_reply, audit_reply> content) {
+    void reply(const requester& to, std::variant<edit_reply, audit_reply, numbered_state> content) {
         if (to.via) {
             output_.to_control.push_back(
                 {*to.via, forwarded_reply{to.entry_host, std::move(content)}});
@@ -192,16 +234,30 @@
     void answer_reads() {
         std::erase_if(reads_, [&](const waiting_read& read) {
             const auto state = replica_.node().check(read.ticket);
-            if (state == read_state::confirmed) {
-                const auto records =
-                    replica_.store().audit_after(read.request.after_revision, read.request.limit);
-                reply(read.from, audit_reply{.number = read.request.number,
-                                             .records = {records.begin(), records.end()}});
-            }
+            std::visit([&](const auto& request) { answer_read(read.from, request, state); },
+                       read.request);
             return state != read_state::waiting;
         });
     }
 
+    void answer_read(const requester& from, const audit_request& request, read_state state) {
+        if (state == read_state::confirmed) {
+            const auto records =
+                replica_.store().audit_after(request.after_revision, request.limit);
+            reply(from, audit_reply{.number = request.number,
+                                    .records = {records.begin(), records.end()}});
+        }
+    }
+
+    void answer_read(const requester& from, const numbered_read& request, read_state state) {
+        if (state == read_state::confirmed) {
+            reply(from, numbered_state{.number = request.number,
+                                       .config = replica_.store().numbered()});
+        } else if (state == read_state::lost) {
+            refuse(from, request);
+        }
+    }
+
     void push_delta(const std::string& host, std::uint64_t& revision) {
         auto delta = replica_.store().delta_after(revision);
         // A replica that lags behind the subscriber has nothing for it.
@@ -230,6 +286,8 @@
     }
 
     config_replica<Storage> replica_;
+    discovery::announcement_relay relay_;
+    std::vector<std::string> control_hosts_;
     std::map<std::string, std::uint64_t> subscribers_; ///< Revision sent, by entry host.
     std::map<std::uint64_t, waiting_edit> edits_;      ///< By token.
     std::vector<waiting_read> reads_;
--- a/src/hawthornstall/control/detail/consensus_node_impl.hpp
+++ b/src/hawthornstall/control/detail/consensus_node_impl.hpp
@@ -154,17 +154,18 @@
 template <log_storage Storage>
 void consensus_node<Storage>::handle(const member_id& from, const join_request& /*request*/,
                                      core::time_ms now) {
-    if (std::ranges::find(settings_.hosts, from.host) != settings_.hosts.end()) {
+    if (settings_.accept_unlisted ||
+        std::ranges::find(settings_.hosts, from.host) != settings_.hosts.end()) {
         joins_.note(from, now);
     }
 }
 
 template <log_storage Storage>
-std::optional<log_position> consensus_node<Storage>::propose(edit_command edit) {
+std::optional<log_position> consensus_node<Storage>::propose(entry_payload change) {
     if (!is_leader() || !failure_.ok()) {
         return std::nullopt;
     }
-    return append_own(std::move(edit));
+    return append_own(std::move(change));
 }
 
 template <log_storage Storage>
--- a/src/hawthornstall/control/detail/consensus_node_leader.hpp
+++ b/src/hawthornstall/control/detail/consensus_node_leader.hpp
@@ -60,7 +60,7 @@
 
 template <log_storage Storage> void consensus_node<Storage>::found_cluster(core::time_ms now) {
     const auto& hosts = settings_.hosts;
-    if (cluster_ != 0 || !failure_.ok() || hosts.empty() ||
+    if (cluster_ != 0 || !settings_.may_found || !failure_.ok() || hosts.empty() ||
         *std::ranges::min_element(hosts) != self().host) {
         return;
     }
--- a/src/hawthornstall/control/document_layouts.hpp
+++ b/src/hawthornstall/control/document_layouts.hpp
@@ -85,11 +85,17 @@
     static constexpr auto members = std::tuple{&type::key, &type::fingerprint, &type::answer};
 };
 
+template <> struct layout<control::numbered_config> {
+    using type = control::numbered_config;
+    static constexpr auto members = std::tuple{&type::version, &type::content, &type::actor,
+                                               &type::wall_time, &type::host};
+};
+
 template <> struct layout<control::store_snapshot> {
     using type = control::store_snapshot;
-    static constexpr auto members =
-        std::tuple{&type::revision, &type::documents,      &type::changed_at_revision,
-                   &type::audit,    &type::accepted_edits, &type::refused_edits};
+    static constexpr auto members = std::tuple{
+        &type::revision,       &type::documents,     &type::changed_at_revision, &type::audit,
+        &type::accepted_edits, &type::refused_edits, &type::numbered, &type::numbered_at_revision};
 };
 
 template <> struct layout<control::config_subscribe> {
@@ -99,7 +105,7 @@
 template <> struct layout<control::config_delta> {
     using type = control::config_delta;
     static constexpr auto members =
-        std::tuple{&type::from_revision, &type::to_revision, &type::documents};
+        std::tuple{&type::from_revision, &type::to_revision, &type::documents, &type::numbered};
 };
 
 template <> struct layout<control::config_digest> {
--- a/src/hawthornstall/control/document_messages.hpp
+++ b/src/hawthornstall/control/document_messages.hpp
@@ -2,10 +2,12 @@
 
 /// Messages by which control hosts keep the documents of entry hosts up to date.
 
+#include "hawthornstall/control/numbered_config.hpp"
 #include "hawthornstall/core/ms_clock.hpp"
 #include "hawthornstall/core/service_document.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -24,6 +26,7 @@
     std::uint64_t from_revision = 0;
     std::uint64_t to_revision = 0;
     std::vector<core::service_document> documents;
+    std::optional<numbered_config> numbered; ///< Present when it changed after `from_revision`.
 
     bool operator==(const config_delta&) const = default;
 };
--- a/src/hawthornstall/control/document_store.cpp
+++ b/src/hawthornstall/control/document_store.cpp
@@ -49,6 +49,24 @@
     return std::nullopt;
 }
 
+edit_answer document_store::apply(const numbered_config& config) {
+    if (config.version > numbered_.version) {
+        ++revision_;
+        append_audit({.revision = revision_,
+                      .edit_id = {},
+                      .service = {},
+                      .actor = config.actor,
+                      .actor_team = {},
+                      .from_version = numbered_.version,
+                      .to_version = config.version,
+                      .wall_time = config.wall_time,
+                      .host = config.host});
+        numbered_ = config;
+        numbered_at_revision_ = revision_;
+    }
+    return {.result = edit_result::accepted, .version = numbered_.version};
+}
+
 edit_answer document_store::judge(const edit_command& edit) const {
     const auto* const current = find(edit.service);
     const std::uint64_t version = current == nullptr ? 0 : current->version;
@@ -114,13 +132,17 @@
     changed_at_revision_[position] = ++revision_;
 }
 
-void document_store::record(const edit_command& edit, std::uint64_t version) {
+void document_store::append_audit(audit_record record) {
     if (audit_.size() >= bounds_.audit_records) {
         // Dropping an eighth at a time keeps the cost of moving the rest off most edits.
         const auto dropped = static_cast<std::ptrdiff_t>(bounds_.audit_records / 8 + 1);
         audit_.erase(audit_.begin(), audit_.begin() + dropped);
     }
-    audit_.push_back({.revision = revision_,
+    audit_.push_back(std::move(record));
+}
+
+void document_store::record(const edit_command& edit, std::uint64_t version) {
+    append_audit({.revision = revision_,
                       .edit_id = edit.edit_id,
                       .service = edit.service,
                       .actor = edit.actor,
@@ -140,12 +162,15 @@
 }
 
 config_delta document_store::delta_after(std::uint64_t revision) const {
-    config_delta delta{.from_revision = revision, .to_revision = revision_, .documents = {}};
+    config_delta delta{.from_revision = revision, .to_revision = revision_, .documents = {}, .numbered = {}};
     for (std::size_t position = 0; position < documents_.size(); ++position) {
         if (changed_at_revision_[position] > revision) {
             delta.documents.push_back(documents_[position]);
         }
     }
+    if (numbered_at_revision_ > revision) {
+        delta.numbered = numbered_;
+    }
     return delta;
 }
 
@@ -155,7 +180,9 @@
             .changed_at_revision = changed_at_revision_,
             .audit = audit_,
             .accepted_edits = accepted_edits_.entries(),
-            .refused_edits = refused_edits_.entries()};
+            .refused_edits = refused_edits_.entries(),
+            .numbered = numbered_,
+            .numbered_at_revision = numbered_at_revision_};
 }
 
 void document_store::restore(store_snapshot snapshot) {
@@ -165,6 +192,8 @@
     audit_ = std::move(snapshot.audit);
     accepted_edits_.restore(snapshot.accepted_edits);
     refused_edits_.restore(snapshot.refused_edits);
+    numbered_ = std::move(snapshot.numbered);
+    numbered_at_revision_ = snapshot.numbered_at_revision;
     total_bytes_ = 0;
     for (const auto& document : documents_) {
         total_bytes_ += document_bytes(document);
--- a/src/hawthornstall/control/document_store.hpp
+++ b/src/hawthornstall/control/document_store.hpp
@@ -43,6 +43,8 @@
     std::vector<audit_record> audit;                ///< Oldest first.
     std::vector<remembered_edit> accepted_edits;    ///< Oldest first.
     std::vector<remembered_edit> refused_edits;     ///< Oldest first.
+    numbered_config numbered;
+    std::uint64_t numbered_at_revision = 0;
 
     bool operator==(const store_snapshot&) const = default;
 };
@@ -61,6 +63,13 @@
 
     edit_answer apply(const edit_command& edit);
 
+    /// Takes `config` if its version is higher than the one in force. The answer is `accepted`
+    /// either way, with the version in force.
+    edit_answer apply(const numbered_config& config);
+
+    /// The numbered configuration in force; version 0 before the first.
+    [[nodiscard]] const numbered_config& numbered() const noexcept { return numbered_; }
+
     /// The document in force, or null.
     [[nodiscard]] const core::service_document* find(std::string_view service) const;
 
@@ -89,6 +98,7 @@
     [[nodiscard]] std::size_t position_of(std::string_view service) const;
     void put(const core::service_document& document, std::uint64_t version);
     void record(const edit_command& edit, std::uint64_t version);
+    void append_audit(audit_record record);
 
     store_bounds bounds_;
     std::uint64_t revision_ = 0;
@@ -96,6 +106,8 @@
     std::vector<core::service_document> documents_;
     std::vector<std::uint64_t> changed_at_revision_;
     std::vector<audit_record> audit_;
+    numbered_config numbered_;
+    std::uint64_t numbered_at_revision_ = 0;
     edit_memory accepted_edits_;
     edit_memory refused_edits_;
 };
--- a/src/hawthornstall/control/entry_message_layouts.hpp
+++ b/src/hawthornstall/control/entry_message_layouts.hpp
@@ -4,6 +4,7 @@
 
 #include "hawthornstall/control/document_layouts.hpp"
 #include "hawthornstall/control/entry_messages.hpp"
+#include "hawthornstall/discovery/layouts.hpp"
 
 namespace hawthornstall::wire {
 
@@ -17,6 +18,20 @@
         std::tuple{&control::edit_reply::number, &control::edit_reply::answer};
 };
 
+template <> struct layout<control::numbered_request> {
+    static constexpr auto members =
+        std::tuple{&control::numbered_request::number, &control::numbered_request::config};
+};
+
+template <> struct layout<control::numbered_read> {
+    static constexpr auto members = std::tuple{&control::numbered_read::number};
+};
+
+template <> struct layout<control::numbered_state> {
+    static constexpr auto members =
+        std::tuple{&control::numbered_state::number, &control::numbered_state::config};
+};
+
 template <> struct layout<control::audit_request> {
     static constexpr auto members =
         std::tuple{&control::audit_request::number, &control::audit_request::after_revision,
--- a/src/hawthornstall/control/entry_messages.hpp
+++ b/src/hawthornstall/control/entry_messages.hpp
@@ -4,6 +4,7 @@
 
 #include "hawthornstall/control/document_edit.hpp"
 #include "hawthornstall/control/document_messages.hpp"
+#include "hawthornstall/discovery/messages.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -37,10 +38,29 @@
     std::vector<audit_record> records;
 };
 
+/// Asks for a numbered configuration to be put in force; safe to send again.
+struct numbered_request {
+    std::uint64_t number = 0; ///< Chosen by the sender; repeated in the reply.
+    numbered_config config;
+};
+
+/// Asks for the numbered configuration in force, confirmed by a quorum.
+struct numbered_read {
+    std::uint64_t number = 0;
+};
+
+/// The confirmed configuration; nothing when no quorum could confirm it.
+struct numbered_state {
+    std::uint64_t number = 0;
+    std::optional<numbered_config> config;
+};
+
 /// What an entry host sends. The order of the alternatives is part of the wire format.
-using entry_to_control = std::variant<config_subscribe, edit_request, audit_request>;
+using entry_to_control = std::variant<config_subscribe, edit_request, audit_request, numbered_request,
+                                      numbered_read, discovery::host_hello>;
 
 /// What a control host answers or publishes.
-using control_to_entry = std::variant<config_delta, config_digest, edit_reply, audit_reply>;
+using control_to_entry = std::variant<config_delta, config_digest, edit_reply, audit_reply, numbered_state,
+                                      discovery::host_list, discovery::target_news>;
 
 } // namespace hawthornstall::control
--- /dev/null
+++ b/src/hawthornstall/discovery/announcement_relay.cpp
@@ -0,0 +1,77 @@
+#include "hawthornstall/discovery/announcement_relay.hpp"
+
+#include <utility>
+
+namespace hawthornstall::discovery {
+
+void announcement_relay::hello(const host_record& host) {
+    auto& known = hosts_[host.name];
+    if (known != host) {
+        known = host;
+        new_hosts_.insert(host.name);
+        hosts_changed_ = true;
+    }
+}
+
+void announcement_relay::unreachable(std::string_view host) {
+    const auto found = hosts_.find(host);
+    if (found != hosts_.end()) {
+        hosts_.erase(found);
+        hosts_changed_ = true;
+    }
+    if (const auto waiting = new_hosts_.find(host); waiting != new_hosts_.end()) {
+        new_hosts_.erase(waiting);
+    }
+}
+
+void announcement_relay::announce(const target_record& record, core::time_ms now) {
+    if (roster_.announce(record, now)) {
+        pending_.targets.push_back(record);
+    }
+}
+
+void announcement_relay::leave(std::string_view id, core::time_ms now) {
+    if (const auto* const known = roster_.find(id)) {
+        const target_record record = *known;
+        roster_.leave(record, now);
+        pending_.left.push_back(record);
+    }
+}
+
+host_list announcement_relay::list_of(const std::vector<std::string>& control_hosts) const {
+    host_list list{.entry_hosts = {}, .control_hosts = control_hosts};
+    for (const auto& [name, host] : hosts_) {
+        list.entry_hosts.push_back(host);
+    }
+    return list;
+}
+
+std::vector<relay_message>
+announcement_relay::tick(core::time_ms now, const std::vector<std::string>& control_hosts) {
+    std::vector<relay_message> messages;
+    roster_.tick(now);
+    if (hosts_changed_ || now >= list_due_) {
+        list_due_ = now + host_list_interval;
+        hosts_changed_ = false;
+        const auto list = list_of(control_hosts);
+        for (const auto& [name, host] : hosts_) {
+            messages.push_back({name, list});
+        }
+    }
+    if (now >= news_due_) {
+        news_due_ = now + news_interval;
+        const auto news = std::exchange(pending_, {});
+        const bool is_empty = news.targets.empty() && news.left.empty();
+        const auto fresh = std::exchange(new_hosts_, {});
+        for (const auto& [name, host] : hosts_) {
+            if (fresh.contains(name)) {
+                messages.push_back({name, target_news{.targets = roster_.targets(), .left = {}}});
+            } else if (!is_empty) {
+                messages.push_back({name, news});
+            }
+        }
+    }
+    return messages;
+}
+
+} // namespace hawthornstall::discovery
--- /dev/null
+++ b/src/hawthornstall/discovery/layouts.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+/// Wire layouts of the discovery messages.
+
+#include "hawthornstall/discovery/messages.hpp"
+#include "hawthornstall/wire/layout.hpp"
+
+namespace hawthornstall::wire {
+
+template <> struct layout<core::room> {
+    using type = core::room;
+    static constexpr auto members =
+        std::tuple{&type::cpu_millis, &type::memory_mb, &type::accelerators};
+};
+
+template <> struct layout<discovery::target_record> {
+    using type = discovery::target_record;
+    static constexpr auto members =
+        std::tuple{&type::id,   &type::incarnation, &type::sequence, &type::service, &type::address,
+                   &type::zone, &type::labels,      &type::capacity, &type::draining};
+};
+
+template <> struct layout<discovery::host_record> {
+    using type = discovery::host_record;
+    static constexpr auto members = std::tuple{&type::name, &type::zone, &type::weight};
+};
+
+template <> struct layout<discovery::host_hello> {
+    static constexpr auto members = std::tuple{&discovery::host_hello::host};
+};
+
+template <> struct layout<discovery::host_list> {
+    using type = discovery::host_list;
+    static constexpr auto members = std::tuple{&type::entry_hosts, &type::control_hosts};
+};
+
+template <> struct layout<discovery::target_news> {
+    using type = discovery::target_news;
+    static constexpr auto members = std::tuple{&type::targets, &type::left};
+};
+
+} // namespace hawthornstall::wire
--- a/src/hawthornstall/entry/config_client.hpp
+++ b/src/hawthornstall/entry/config_client.hpp
@@ -78,6 +78,9 @@
     void receive(std::string_view host, const control::config_digest& digest, core::time_ms now);
     void receive(std::string_view host, const control::edit_reply& reply, core::time_ms now);
     void receive(std::string_view host, const control::audit_reply& reply, core::time_ms now);
+    /// Messages that this client never asks for.
+    template <class Message>
+    void receive(std::string_view /*host*/, const Message& /*message*/, core::time_ms /*now*/) {}
     void follow_next(core::time_ms now);
     void subscribe(std::uint64_t revision, core::time_ms now);
     void send(open_request& request, core::time_ms now);
--- a/src/hawthornstall/net/http_client.cpp
+++ b/src/hawthornstall/net/http_client.cpp
@@ -14,7 +14,7 @@
 } // namespace detail
 
 http_client::http_client(runtime::event_loop& loop, http_client_limits limits)
-    : loop_(loop), limits_(limits),
+    : loop_(loop), limits_(std::move(limits)),
       check_event_(loop.every(detail::check_interval, [this] { check_all(); })) {}
 
 absl::Status http_client::send(const exchange_request& request, completion done) {
@@ -109,14 +109,14 @@
 
 void http_client::check_idle(std::string_view address, pooled_connection& item, core::time_ms now) {
     auto& connection = *item.connection;
-    if (!connection.usable() || connection.busy() ||
+    if (limits_.ping_path.empty() || !connection.usable() || connection.busy() ||
         now - connection.last_answer() < limits_.idle_before_ping) {
         return;
     }
     ++counts_.pings;
     connection.send({.address = address,
                      .method = exchange_method::get,
-                     .path = "/v1/ping",
+                     .path = limits_.ping_path,
                      .timeout = limits_.ping_timeout,
                      .idempotent = true},
                     [](const exchange_result&) {});
--- a/src/hawthornstall/net/http_client.hpp
+++ b/src/hawthornstall/net/http_client.hpp
@@ -25,6 +25,7 @@
     std::size_t max_connections_per_target = 64; ///< A minion accepts about 60 connections.
     core::duration_ms idle_before_ping{1000};
     core::duration_ms ping_timeout{500};
+    std::string ping_path = "/v1/ping"; ///< Empty: idle connections are not checked.
     /// Connections without a request for this long are closed instead of pinged again.
     core::duration_ms close_after_unused{30'000};
     answer_limits answers{};
--- a/src/hawthornstall/net/http_server.cpp
+++ b/src/hawthornstall/net/http_server.cpp
@@ -240,6 +240,8 @@
     if (open.answer_sent) {
         ++open.server->counts_.dropped;
         open.server->forget(open.number);
+    } else if (open.server->gone_) {
+        open.server->gone_(open.number);
     }
 }
 
--- a/src/hawthornstall/net/http_server.hpp
+++ b/src/hawthornstall/net/http_server.hpp
@@ -84,6 +84,10 @@
     /// Address listened on, with the port that the system chose.
     [[nodiscard]] std::string_view address() const noexcept { return address_; }
 
+    /// Calls `gone` with the number of a request whose client closed the connection before the
+    /// answer. The request still has to be answered.
+    void on_client_gone(std::function<void(std::uint64_t)> gone) { gone_ = std::move(gone); }
+
     /// Sends the answer to request `number`. Returns false, and counts a dropped answer, when the
     /// client is known to be gone; returns false for an unknown or already answered number.
     bool answer(std::uint64_t number, const http_answer& answer);
@@ -128,6 +132,7 @@
     std::unordered_map<std::uint64_t, open_request> open_;
     bool closing_ = false;
     std::function<void()> idle_;
+    std::function<void(std::uint64_t)> gone_;
     runtime::event_handle idle_event_;
     http_server_counts counts_;
 };
--- a/src/hawthornstall/net/peer_links.cpp
+++ b/src/hawthornstall/net/peer_links.cpp
@@ -1,6 +1,7 @@
 #include "hawthornstall/net/peer_links.hpp"
 
 #include "hawthornstall/core/error.hpp"
+#include "hawthornstall/net/socket_address.hpp"
 #include "hawthornstall/wire/codec.hpp"
 
 #include <utility>
@@ -26,17 +27,30 @@
     if (auto status = listener_.listen_pull(self_.listen_address); !status.ok()) {
         return status;
     }
-    const auto now = core::ms_clock::now();
     for (const auto& peer : peers) {
-        auto& target = links_[peer.name];
-        target.address = peer.address;
-        replace(target, now);
+        add(peer);
     }
     receive_event_ = loop_.on_readable(listener_.receive_descriptor(), [this] { receive_all(); });
-    ping_event_ = loop_.every(ping_interval, [this] { check_liveness(); });
+    ping_event_ = loop_.every(self_.ping_every, [this] { check_liveness(); });
     return absl::OkStatus();
 }
 
+void peer_links::add(const peer_endpoint& peer) {
+    if (peer.name == self_.name || links_.contains(peer.name)) {
+        return;
+    }
+    auto& added = links_[peer.name];
+    added.address = peer.address;
+    replace(added, core::ms_clock::now());
+}
+
+void peer_links::remove(std::string_view peer) {
+    const auto found = links_.find(peer);
+    if (found != links_.end()) {
+        links_.erase(found);
+    }
+}
+
 absl::Status peer_links::send(std::string_view peer, std::string_view body) {
     const auto found = links_.find(peer);
     if (found == links_.end()) {
@@ -50,6 +64,16 @@
     return send_envelope(found->second, envelope_kind::data, body);
 }
 
+std::vector<std::string> peer_links::reachable_peers() const {
+    std::vector<std::string> names;
+    for (const auto& [name, peer] : links_) {
+        if (peer.reachable) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 bool peer_links::is_reachable(std::string_view peer) const {
     const auto found = links_.find(peer);
     return found != links_.end() && found->second.reachable;
@@ -70,15 +94,21 @@
     const auto now = core::ms_clock::now();
     pipes_heard_[pipe] = now;
     ++counters_.messages_received;
-    const auto found = envelope.ok() ? links_.find(envelope->sender) : links_.end();
-    if (found == links_.end()) {
-        // A sender that the settings do not name, or damaged bytes: drop the connection.
+    auto* const sender = envelope.ok() ? find_sender(envelope->sender) : nullptr;
+    if (sender == nullptr) {
+        // A sender that may not link to this process, or damaged bytes: drop the connection.
         ++counters_.malformed;
         detail::close_pipe(pipe);
         return;
     }
-    auto& origin = found->second;
+    auto& origin = *sender;
     origin.last_heard = now;
+    const auto known = std::exchange(origin.incarnation, envelope->incarnation);
+    if (known != 0 && known != envelope->incarnation && origin.reachable) {
+        // The peer restarted faster than its silence was noticed: what it knew is gone.
+        origin.reachable = false;
+        on_state_(envelope->sender, false);
+    }
     if (!std::exchange(origin.reachable, true)) {
         on_state_(envelope->sender, true);
     }
@@ -90,14 +120,23 @@
     }
 }
 
+peer_links::link* peer_links::find_sender(std::string_view name) {
+    auto found = links_.find(name);
+    if (found == links_.end() && self_.accept_unlisted && parse_socket_address(name).ok()) {
+        add({.name = std::string{name}, .address = std::string{name}});
+        found = links_.find(name);
+    }
+    return found == links_.end() ? nullptr : &found->second;
+}
+
 void peer_links::check_liveness() {
     const auto now = core::ms_clock::now();
     for (auto& [name, target] : links_) {
-        const bool silent = now - target.last_heard > silence_limit;
+        const bool silent = now - target.last_heard > self_.silent_after;
         if (silent && std::exchange(target.reachable, false)) {
             on_state_(name, false);
         }
-        if (silent && now - target.last_replaced > silence_limit) {
+        if (silent && now - target.last_replaced > self_.silent_after) {
             replace(target, now);
             ++counters_.links_replaced;
         }
--- a/src/hawthornstall/net/peer_links.hpp
+++ b/src/hawthornstall/net/peer_links.hpp
@@ -17,13 +17,15 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hawthornstall::net {
 
-/// Interval of pings on each link.
+/// Interval of pings on each link, unless the identity says otherwise.
 constexpr core::duration_ms ping_interval{500};
 
-/// Silence after which a peer is unreachable and the link to it is replaced.
+/// Silence after which a peer is unreachable and the link to it is replaced, unless the identity
+/// says otherwise.
 constexpr core::duration_ms silence_limit{1500};
 
 /// A process to link to.
@@ -50,6 +52,10 @@
         std::string name;
         std::uint64_t incarnation = 0;
         std::string listen_address; ///< "ip:port".
+        core::duration_ms ping_every = ping_interval;
+        core::duration_ms silent_after = silence_limit;
+        /// Links back to senders that no settings name; their name is their address.
+        bool accept_unlisted = false;
     };
 
     /// Receives the sender's name and incarnation and the message body.
@@ -64,10 +70,19 @@
     /// Starts to listen and to connect to `peers`.
     [[nodiscard]] absl::Status start(std::span<const peer_endpoint> peers);
 
+    /// Links to `peer` as well, unless there is a link to it or it is this process.
+    void add(const peer_endpoint& peer);
+
+    /// Ends the link to `peer`, which must be unreachable.
+    void remove(std::string_view peer);
+
     /// Queues a message for `peer`. An error means that it was not queued; success does not promise
     /// delivery. Senders that need an answer resend on a timer.
     [[nodiscard]] absl::Status send(std::string_view peer, std::string_view body);
 
+    /// Names of the peers that can be reached now.
+    [[nodiscard]] std::vector<std::string> reachable_peers() const;
+
     [[nodiscard]] bool is_reachable(std::string_view peer) const;
 
     [[nodiscard]] const link_counters& counters() const noexcept { return counters_; }
@@ -78,11 +93,13 @@
         std::unique_ptr<detail::nng_socket_handle> socket;
         core::time_ms last_heard{};
         core::time_ms last_replaced{};
+        std::uint64_t incarnation = 0; ///< Of the process last heard; 0 before the first message.
         bool reachable = false;
     };
 
     void receive_all();
     void accept(std::uint32_t pipe, std::string_view bytes);
+    [[nodiscard]] link* find_sender(std::string_view name);
     void check_liveness();
     void close_silent_pipes(core::time_ms now);
     void replace(link& target, core::time_ms now);
--- /dev/null
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -0,0 +1,499 @@
+#pragma once
+
+/// Member functions of dispatch_host. Included by dispatch_host.hpp only.
+
+#include "hawthornstall/control/entry_message_layouts.hpp"
+#include "hawthornstall/pipeline/pipe.hpp"
+#include "hawthornstall/runs/dispatch_host.hpp"
+#include "hawthornstall/runs/run_layouts.hpp"
+#include "hawthornstall/wire/codec.hpp"
+
+#include <stdexcept>
+#include <utility>
+
+namespace hawthornstall::runs {
+namespace detail {
+
+/// Timers of the decisions are due at multiples of this.
+constexpr core::duration_ms tick_interval{50};
+
+/// Entry hosts say to each other that they are alive, and what they hold, at least this often.
+constexpr core::duration_ms presence_interval{500};
+
+/// Entry hosts say to control hosts that they listen at least this often.
+constexpr core::duration_ms hello_interval{1'000};
+
+/// A host that is shutting down stops to take requests when this part of its time is left.
+constexpr core::duration_ms closing_time{2'000};
+
+/// The process ends this long before it would be killed.
+constexpr core::duration_ms exit_margin{300};
+
+constexpr int ready_status = 200;
+constexpr int not_ready_status = 503;
+
+/// Filter: reads what the caller of a routed call wants.
+template <class Codec> struct decode_wish {
+    Codec* codec;
+    absl::StatusOr<caller_wish> operator()(const routed_call& call) const {
+        return codec->decode_wish(call);
+    }
+};
+
+/// Filter: refuses jobs that no run could satisfy.
+struct check_wish {
+    absl::StatusOr<caller_wish> operator()(caller_wish wish) const {
+        if (const auto* const job = std::get_if<job_request>(&wish)) {
+            if (auto status = check_job(*job); !status.ok()) {
+                return status;
+            }
+        }
+        return wish;
+    }
+};
+
+} // namespace detail
+
+template <dispatch_codec Codec>
+dispatch_host<Codec>::dispatch_host(dispatch_options options, observer report)
+    : options_(std::move(options)), report_(std::move(report)),
+      hosts_({.host = options_.host, .leaving = false, .held_targets = {}}),
+      holder_(options_.bounds, options_.host_bits, core::ms_clock::now()) {}
+
+template <dispatch_codec Codec> void dispatch_host<Codec>::attach(runtime::event_loop& loop) {
+    loop_ = &loop;
+    net::http_client_limits limits;
+    limits.ping_path.clear();
+    client_ = std::make_unique<net::http_client>(loop, std::move(limits));
+    open_links();
+    open_servers();
+    tick_event_ = loop.every(detail::tick_interval, [this] { tick(); });
+}
+
+template <dispatch_codec Codec> void dispatch_host<Codec>::open_links() {
+    links_ = std::make_unique<net::peer_links>(
+        *loop_, options_.self,
+        [this](std::string_view peer, std::uint64_t /*incarnation*/, std::string_view body) {
+            receive(peer, body);
+        },
+        [this](std::string_view peer, bool reachable) { on_link(peer, reachable); });
+    if (const auto status = links_->start({}); !status.ok()) {
+        throw std::runtime_error{core::describe(status)};
+    }
+    take(seeds_changed{options_.control_hosts});
+}
+
+template <dispatch_codec Codec> void dispatch_host<Codec>::open_servers() {
+    front_ = std::make_unique<net::http_server>(
+        *loop_, options_.caller_address, options_.limits,
+        [this](const net::http_request& request) { take_call(request); });
+    front_->on_client_gone([this](std::uint64_t request) {
+        desk_.caller_left(request, now());
+        flush_soon();
+    });
+    readiness_ = std::make_unique<net::http_server>(
+        *loop_, options_.readiness_address, options_.limits,
+        [this](const net::http_request& request) { answer_readiness(request); });
+    for (auto* const server : {front_.get(), readiness_.get()}) {
+        if (const auto status = server->start(); !status.ok()) {
+            throw std::runtime_error{core::describe(status)};
+        }
+    }
+}
+
+template <dispatch_codec Codec> void dispatch_host<Codec>::handle(message input) {
+    std::visit([this](auto& content) { take(std::move(content)); }, input);
+    flush_soon();
+}
+
+template <dispatch_codec Codec> void dispatch_host<Codec>::take(shutdown_request request) {
+    ended_ = std::move(request.ended);
+    leaving_since_ = now();
+    hosts_.self().leaving = true;
+    report_({.name = "shutdown_started"});
+    send_presence();
+}
+
+template <dispatch_codec Codec> void dispatch_host<Codec>::take(const seeds_changed& change) {
+    for (const auto& host : change.control_hosts) {
+        links_->add({.name = host, .address = host});
+    }
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::take_call(const net::http_request& request) {
+    auto to_wish = pipeline::pipe(find_route{}, detail::decode_wish<Codec>{&codec_},
+                                  detail::check_wish{});
+    auto wish = to_wish(arrived_call{&request, &routes_});
+    if (!wish.ok()) {
+        report_({.level = core::log_level::warning,
+                 .name = "request_refused",
+                 .id = std::string{request.path},
+                 .detail = core::describe(wish.status())});
+        send_answer(request.number, codec_.answer_to(wish.status()));
+        return;
+    }
+    std::visit([&](auto& content) { serve(request.number, std::move(content)); }, *wish);
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::serve(std::uint64_t request, job_request job) {
+    desk_.open(request, std::move(job), hosts_.scheduler(), now());
+    flush_soon();
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::serve(std::uint64_t request, const count_question& /*question*/) {
+    // No job is accepted before it has ended, so none waits.
+    send_answer(request, codec_.answer_to(waiting_count{.jobs = 0}));
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::serve(std::uint64_t request, const job_question& /*question*/) {
+    send_answer(request, codec_.answer_to(unknown_job{}));
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::send_answer(std::uint64_t request, const caller_answer& answer) {
+    // A caller that has left needs no answer; the server counts it.
+    (void)front_->answer(request, {.status = answer.status,
+                                   .body = answer.body,
+                                   .retry_after = answer.retry_after});
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::answer_readiness(const net::http_request& request) {
+    const bool is_ready = routes_.version > 0 && !hosts_.self().leaving;
+    (void)readiness_->answer(
+        request.number,
+        {.status = is_ready ? detail::ready_status : detail::not_ready_status, .body = "{}"});
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::answer_call(const desk_answer& answer) {
+    const auto encoded = codec_.answer_to(answer);
+    const bool is_good = answer.result == job_result::completed;
+    report_({.level = is_good ? core::log_level::info : core::log_level::warning,
+             .name = is_good ? "job_answered" : "job_answered_without_success",
+             .id = answer.job,
+             .detail = std::string{to_string(answer.result)} + ": " + answer.reason,
+             .age = answer.age});
+    send_answer(answer.request, encoded);
+}
+
+template <dispatch_codec Codec>
+bool dispatch_host<Codec>::is_control_host(std::string_view name) const {
+    return name.ends_with(options_.control_port_suffix);
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::receive(std::string_view peer, std::string_view body) {
+    if (is_control_host(peer)) {
+        receive_from_control(peer, body);
+    } else if (auto messages = wire::decode<std::vector<run_message>>(body); messages.ok()) {
+        for (auto& item : *messages) {
+            deliver(std::string{peer}, std::move(item));
+        }
+    } else {
+        report_({.level = core::log_level::warning,
+                 .name = "message_not_decoded",
+                 .peer = std::string{peer},
+                 .detail = core::describe(messages.status())});
+    }
+    flush_soon();
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::receive_from_control(std::string_view host, std::string_view body) {
+    const auto message = wire::decode<control::control_to_entry>(body);
+    if (!message.ok()) {
+        report_({.level = core::log_level::warning,
+                 .name = "message_not_decoded",
+                 .peer = std::string{host},
+                 .detail = core::describe(message.status())});
+        return;
+    }
+    std::visit([&](const auto& content) { apply(host, content); }, *message);
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::on_link(std::string_view peer, bool reachable) {
+    report_({.level = reachable ? core::log_level::info : core::log_level::warning,
+             .name = reachable ? "peer_reachable" : "peer_unreachable",
+             .peer = std::string{peer}});
+    if (is_control_host(peer)) {
+        if (reachable) {
+            subscribe(peer, documents_.revision());
+            send_control(peer, discovery::host_hello{options_.host});
+        }
+        return;
+    }
+    if (reachable) {
+        send_presence();
+    } else {
+        hosts_.unreachable(peer);
+        holder_.scheduler_unreachable(peer, now());
+        scheduler_.host_unreachable(peer, now());
+        desk_.host_unreachable(peer, now());
+    }
+    flush_soon();
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::apply(std::string_view host, const control::config_delta& delta) {
+    (void)documents_.apply(delta);
+    const auto& config = documents_.numbered();
+    if (config.version <= routes_.version) {
+        return;
+    }
+    auto routes = codec_.decode_routes(config.content);
+    if (!routes.ok()) {
+        report_({.level = core::log_level::error,
+                 .name = "config_not_decoded",
+                 .peer = std::string{host},
+                 .detail = core::describe(routes.status())});
+        return;
+    }
+    routes_ = std::move(*routes);
+    routes_.version = config.version;
+    report_({.name = "config_in_force",
+             .peer = std::string{host},
+             .detail = "version " + std::to_string(routes_.version)});
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::apply(std::string_view host, const control::config_digest& digest) {
+    const auto outcome = documents_.check(digest, now());
+    if (outcome == control::digest_outcome::behind) {
+        subscribe(host, documents_.revision());
+    } else if (outcome == control::digest_outcome::differs) {
+        subscribe(host, 0);
+    }
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::apply(std::string_view /*host*/, const discovery::host_list& list) {
+    for (const auto& host : list.entry_hosts) {
+        links_->add({.name = host.name, .address = host.name});
+    }
+    take(seeds_changed{list.control_hosts});
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::apply(std::string_view /*host*/, const discovery::target_news& news) {
+    for (const auto& record : news.targets) {
+        roster_.announce(record, now());
+    }
+    for (const auto& record : news.left) {
+        roster_.leave(record, now());
+    }
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::deliver(const std::string& from, run_message message) {
+    std::visit([&](auto& content) { apply_run(from, std::move(content)); }, message);
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::apply_run(const std::string& from, submit_job&& message) {
+    scheduler_.submit(from, message, now());
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::apply_run(const std::string& from, const cancel_job& message) {
+    scheduler_.cancel(from, message, now());
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::apply_run(const std::string& from, const job_ended& message) {
+    desk_.ended(from, message, now());
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::apply_run(const std::string& from, const start_run& message) {
+    holder_.start(from, message, now());
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::apply_run(const std::string& from, const stop_run& message) {
+    holder_.stop(from, message, now());
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::apply_run(const std::string& /*from*/, const run_ended& message) {
+    scheduler_.run_over(message, now());
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::apply_run(const std::string& from, const target_report& message) {
+    scheduler_.report(from, message, now());
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::apply_run(const std::string& /*from*/, const host_presence& message) {
+    hosts_.present(message);
+}
+
+template <dispatch_codec Codec> void dispatch_host<Codec>::tick() {
+    const auto time = now();
+    roster_.tick(time);
+    desk_.tick(time);
+    holder_.tick(roster_, hosts_, time, core::ms_clock::wall_now());
+    if (time >= hello_due_) {
+        say_hello();
+    }
+    if (time >= presence_due_) {
+        send_presence();
+    }
+    flush();
+    finish_shutdown(time);
+}
+
+template <dispatch_codec Codec> void dispatch_host<Codec>::say_hello() {
+    hello_due_ = now() + detail::hello_interval;
+    for (const auto& name : links_->reachable_peers()) {
+        if (is_control_host(name)) {
+            send_control(name, discovery::host_hello{options_.host});
+        }
+    }
+}
+
+template <dispatch_codec Codec> void dispatch_host<Codec>::send_presence() {
+    presence_due_ = now() + detail::presence_interval;
+    hosts_.self().held_targets = holder_.held();
+    for (const auto& name : links_->reachable_peers()) {
+        if (!is_control_host(name)) {
+            outgoing_[name].push_back(hosts_.self());
+        }
+    }
+    flush_soon();
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::subscribe(std::string_view control_host, std::uint64_t revision) {
+    send_control(control_host, control::config_subscribe{.revision = revision});
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::send_control(std::string_view host,
+                                        const control::entry_to_control& message) {
+    // Repeated with the next digest or hello when it gets lost.
+    (void)links_->send(host, wire::encode(message));
+}
+
+/// Inputs that are read in one turn of the event loop share messages and one round of placement.
+template <dispatch_codec Codec> void dispatch_host<Codec>::flush_soon() {
+    if (!std::exchange(flush_is_due_, true)) {
+        flush_event_ = loop_->after(core::duration_ms{0}, [this] { flush(); });
+    }
+}
+
+template <dispatch_codec Codec> void dispatch_host<Codec>::flush() {
+    flush_is_due_ = false;
+    do {
+        while (!local_.empty()) {
+            auto item = std::move(local_.front());
+            local_.pop_front();
+            deliver(options_.self.name, std::move(item.message));
+        }
+        scheduler_.place(now());
+        auto scheduled = scheduler_.take_effects();
+        for (const auto& event : scheduled.events) {
+            report_({.name = event.what,
+                     .id = event.job,
+                     .detail = event.detail,
+                     .age = event.age});
+        }
+        route(scheduled.messages);
+        auto held = holder_.take_effects();
+        for (const auto& call : held.calls) {
+            call_target(call);
+        }
+        route(held.messages);
+        auto desk = desk_.take_effects();
+        for (const auto& answer : desk.answers) {
+            answer_call(answer);
+        }
+        route(desk.messages);
+        if (held.held_changed) {
+            send_presence();
+        }
+    } while (!local_.empty());
+    send_outgoing();
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::route(std::vector<addressed_message>& messages) {
+    for (auto& item : messages) {
+        if (item.host == options_.self.name) {
+            local_.push_back(std::move(item));
+        } else {
+            outgoing_[item.host].push_back(std::move(item.message));
+        }
+    }
+}
+
+template <dispatch_codec Codec> void dispatch_host<Codec>::send_outgoing() {
+    for (const auto& [host, messages] : std::exchange(outgoing_, {})) {
+        if (const auto status = links_->send(host, wire::encode(messages)); !status.ok()) {
+            report_({.level = core::log_level::warning,
+                     .name = "message_not_sent",
+                     .peer = host,
+                     .detail = core::describe(status)});
+        }
+    }
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::call_target(const target_call& call) {
+    const auto encoded = codec_.encode(call);
+    std::vector<net::http_header> headers;
+    for (const auto& [name, value] : encoded.headers) {
+        headers.push_back({name, value});
+    }
+    // Calls may be repeated without harm: starts are numbered and stops and listings have no effect
+    // the second time.
+    const net::exchange_request request{.address = call.address,
+                                        .method = net::exchange_method::post,
+                                        .path = encoded.path,
+                                        .headers = headers,
+                                        .body = encoded.body,
+                                        .timeout = call.timeout,
+                                        .idempotent = true};
+    const auto status = client_->send(request, [this, call](const net::exchange_result& result) {
+        const auto answer = codec_.decode(call, result);
+        if (answer.fault) {
+            report_({.level = core::log_level::warning,
+                     .name = "target_call_failed",
+                     .peer = call.target,
+                     .detail = answer.reason});
+        }
+        holder_.answered(call.target, call.number, answer, now());
+        flush_soon();
+    });
+    if (!status.ok()) {
+        holder_.answered(call.target, call.number,
+                         {.fault = call_fault::not_delivered, .reason = core::describe(status)},
+                         now());
+    }
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::finish_shutdown(core::time_ms time) {
+    if (!ended_) {
+        return;
+    }
+    const auto since = time - leaving_since_;
+    if (!closing_ && since > options_.shutdown_grace - detail::closing_time) {
+        closing_ = true;
+        front_->close([] {});
+    }
+    const bool is_idle = closing_ && desk_.idle() && scheduler_.idle() && holder_.idle() &&
+                         front_->open_requests() == 0;
+    if (is_idle || since > options_.shutdown_grace - detail::exit_margin) {
+        report_({.name = "shutdown_finished", .detail = is_idle ? "idle" : "time is up"});
+        std::exchange(ended_, nullptr)();
+    }
+}
+
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/src/hawthornstall/runs/dispatch_codec.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+/// What a dispatch host needs of the protocols of callers and targets: pure functions between HTTP
+/// and the project's types, which decide nothing.
+
+#include "hawthornstall/net/http_exchange.hpp"
+#include "hawthornstall/net/http_server.hpp"
+#include "hawthornstall/runs/front_call.hpp"
+#include "hawthornstall/runs/job_desk.hpp"
+#include "hawthornstall/runs/route_table.hpp"
+#include "hawthornstall/runs/target_call.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace hawthornstall::runs {
+
+/// An answer to a caller.
+struct caller_answer {
+    int status = 200;
+    std::string body;
+    core::duration_ms retry_after{};
+};
+
+/// Asks how many accepted jobs of the queue have not begun.
+struct count_question {};
+
+/// Asks for, or cancels, a job by its id.
+struct job_question {
+    std::string id;
+};
+
+/// What a caller wants of a queue.
+using caller_wish = std::variant<job_request, count_question, job_question>;
+
+/// Answer to a count_question.
+struct waiting_count {
+    std::uint64_t jobs = 0;
+};
+
+/// Answer to a job_question about a job that is not known.
+struct unknown_job {};
+
+/// A call to a target in the form in which it travels.
+struct encoded_call {
+    std::string path;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+};
+
+/// A status is answered as a refusal: the request has not run.
+template <class Codec>
+concept dispatch_codec = requires(Codec codec, std::string_view text, const routed_call& routed,
+                                  const desk_answer& ended, const absl::Status& refusal,
+                                  const waiting_count& count, const target_call& call, const net::exchange_result& result) {
+    { codec.decode_routes(text) } -> std::same_as<absl::StatusOr<route_table>>;
+    { codec.decode_wish(routed) } -> std::same_as<absl::StatusOr<caller_wish>>;
+    { codec.answer_to(count) } -> std::same_as<caller_answer>;
+    { codec.answer_to(unknown_job{}) } -> std::same_as<caller_answer>;
+    { codec.answer_to(ended) } -> std::same_as<caller_answer>;
+    { codec.answer_to(refusal) } -> std::same_as<caller_answer>;
+    { codec.encode(call) } -> std::same_as<encoded_call>;
+    { codec.decode(call, result) } -> std::same_as<call_answer>;
+};
+
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/src/hawthornstall/runs/dispatch_host.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+/// Loop task of an entry host that runs jobs on leased targets: owns its sockets and connects the
+/// front end, the scheduler and the holder of targets.
+
+#include "hawthornstall/control/applied_documents.hpp"
+#include "hawthornstall/control/entry_messages.hpp"
+#include "hawthornstall/net/http_client.hpp"
+#include "hawthornstall/net/http_server.hpp"
+#include "hawthornstall/net/peer_links.hpp"
+#include "hawthornstall/runs/dispatch_codec.hpp"
+#include "hawthornstall/runs/dispatch_options.hpp"
+#include "hawthornstall/runs/job_desk.hpp"
+#include "hawthornstall/runs/job_scheduler.hpp"
+#include "hawthornstall/runs/target_holder.hpp"
+#include "hawthornstall/runtime/event_loop.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace hawthornstall::runs {
+
+/// The process is to end: nothing new is taken on, and `ended` is called once all is finished.
+struct shutdown_request {
+    std::function<void()> ended;
+};
+
+/// Control hosts that the settings name now.
+struct seeds_changed {
+    std::vector<std::string> control_hosts;
+};
+
+template <dispatch_codec Codec> class dispatch_host {
+public:
+    using message = std::variant<shutdown_request, seeds_changed>;
+
+    /// Receives decisions and changes on this task's thread.
+    using observer = std::function<void(const dispatch_event&)>;
+
+    dispatch_host(dispatch_options options, observer report);
+
+    /// Throws std::runtime_error when an address cannot be listened on.
+    void attach(runtime::event_loop& loop);
+    void handle(message input);
+
+private:
+    void open_links();
+    void open_servers();
+
+    void take(shutdown_request request);
+    void take(const seeds_changed& change);
+
+    void take_call(const net::http_request& request);
+    void serve(std::uint64_t request, job_request job);
+    void serve(std::uint64_t request, const count_question& question);
+    void serve(std::uint64_t request, const job_question& question);
+    void send_answer(std::uint64_t request, const caller_answer& answer);
+    void answer_readiness(const net::http_request& request);
+    void answer_call(const desk_answer& answer);
+
+    void receive(std::string_view peer, std::string_view body);
+    void receive_from_control(std::string_view host, std::string_view body);
+    void on_link(std::string_view peer, bool reachable);
+    void apply(std::string_view host, const control::config_delta& delta);
+    void apply(std::string_view host, const control::config_digest& digest);
+    void apply(std::string_view host, const discovery::host_list& list);
+    void apply(std::string_view host, const discovery::target_news& news);
+    template <class Message> void apply(std::string_view /*host*/, const Message& /*message*/) {}
+
+    void deliver(const std::string& from, run_message message);
+    void apply_run(const std::string& from, submit_job&& message);
+    void apply_run(const std::string& from, const cancel_job& message);
+    void apply_run(const std::string& from, const job_ended& message);
+    void apply_run(const std::string& from, const start_run& message);
+    void apply_run(const std::string& from, const stop_run& message);
+    void apply_run(const std::string& from, const run_ended& message);
+    void apply_run(const std::string& from, const target_report& message);
+    void apply_run(const std::string& from, const host_presence& message);
+
+    void tick();
+    void say_hello();
+    void send_presence();
+    void subscribe(std::string_view control_host, std::uint64_t revision);
+    void send_control(std::string_view host, const control::entry_to_control& message);
+    void flush_soon();
+    void flush();
+    void route(std::vector<addressed_message>& messages);
+    void send_outgoing();
+    void call_target(const target_call& call);
+    void finish_shutdown(core::time_ms now);
+    [[nodiscard]] bool is_control_host(std::string_view name) const;
+    [[nodiscard]] core::time_ms now() const noexcept { return core::ms_clock::now(); }
+
+    dispatch_options options_;
+    observer report_;
+    Codec codec_;
+    runtime::event_loop* loop_ = nullptr;
+    std::unique_ptr<net::peer_links> links_;
+    std::unique_ptr<net::http_server> front_;
+    std::unique_ptr<net::http_server> readiness_;
+    std::unique_ptr<net::http_client> client_;
+
+    control::applied_documents documents_;
+    route_table routes_;
+    discovery::target_roster roster_;
+    host_view hosts_;
+    job_desk desk_;
+    job_scheduler scheduler_;
+    target_holder holder_;
+
+    std::map<std::string, std::vector<run_message>> outgoing_;
+    std::deque<addressed_message> local_;
+    core::time_ms hello_due_{};
+    core::time_ms presence_due_{};
+    std::function<void()> ended_; ///< Set while shutting down.
+    core::time_ms leaving_since_{};
+    bool closing_ = false;
+    bool flush_is_due_ = false;
+    runtime::event_handle tick_event_;
+    runtime::event_handle flush_event_;
+};
+
+} // namespace hawthornstall::runs
+
+#include "hawthornstall/runs/detail/dispatch_host_impl.hpp"
--- /dev/null
+++ b/src/hawthornstall/runs/front_call.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+/// Filters that turn a caller's request into a job.
+
+#include "hawthornstall/core/error.hpp"
+#include "hawthornstall/net/http_server.hpp"
+#include "hawthornstall/runs/job.hpp"
+#include "hawthornstall/runs/route_table.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <string_view>
+
+namespace hawthornstall::runs {
+
+/// A request as it arrived, with the routes in force.
+struct arrived_call {
+    const net::http_request* request = nullptr;
+    const route_table* routes = nullptr;
+};
+
+/// A request whose queue is known.
+struct routed_call {
+    const net::http_request* request = nullptr;
+    const job_route* route = nullptr;
+    std::string_view job_id; ///< Rest of the path after the route's prefix.
+};
+
+/// Host name without a port.
+[[nodiscard]] inline std::string_view without_port(std::string_view host) {
+    return host.substr(0, host.find(':'));
+}
+
+/// Filter: finds the queue of a request. Unavailable before the first configuration.
+struct find_route {
+    absl::StatusOr<routed_call> operator()(const arrived_call& call) const {
+        constexpr core::error_origin origin{.step = "find_route", .peer = {}};
+        if (call.routes->version == 0) {
+            return core::make_error(absl::StatusCode::kUnavailable, origin,
+                                    "this host has no configuration yet");
+        }
+        const auto host = without_port(call.request->header("Host"));
+        const auto path = call.request->path;
+        const auto* const route = call.routes->find(host, path);
+        if (route == nullptr) {
+            return core::make_error(absl::StatusCode::kNotFound, origin,
+                                    "no queue has this host and path");
+        }
+        return routed_call{call.request, route, path.substr(route->path_prefix.size())};
+    }
+};
+
+/// Whether the steps of a job can be run at all: an error names what is wrong.
+[[nodiscard]] absl::Status check_job(const job_request& job);
+
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/src/hawthornstall/runs/job_desk.cpp
@@ -0,0 +1,107 @@
+#include "hawthornstall/runs/job_desk.hpp"
+
+#include <utility>
+
+namespace hawthornstall::runs {
+namespace detail {
+
+/// Callers get answers that are late by up to this; later ones nobody waits for.
+constexpr core::duration_ms late_answer_limit{5'000};
+
+/// A refused job may return after this time when no scheduler is known.
+constexpr core::duration_ms no_scheduler_retry{1'000};
+
+} // namespace detail
+
+void job_desk::open(std::uint64_t request, job_request job,
+                    const std::optional<std::string>& scheduler, core::time_ms now) {
+    const auto number = ++last_number_;
+    const auto position =
+        open_
+            .emplace(number,
+                     open_job{.request = request,
+                              .job = job.id,
+                              .scheduler = scheduler.value_or(std::string{}),
+                              .arrived = now,
+                              .give_up_at = now + job.terms.deadline + detail::late_answer_limit})
+            .first;
+    if (scheduler) {
+        effects_.messages.push_back(
+            {*scheduler, submit_job{.number = number, .job = std::move(job)}});
+    } else {
+        finish(position,
+               {.number = number,
+                .result = job_result::refused,
+                .retry_after = detail::no_scheduler_retry,
+                .reason = "no host schedules jobs now"},
+               now);
+    }
+}
+
+void job_desk::ended(std::string_view scheduler, const job_ended& message, core::time_ms now) {
+    const auto position = open_.find(message.number);
+    if (position != open_.end() && position->second.scheduler == scheduler) {
+        finish(position, message, now);
+    }
+}
+
+void job_desk::caller_left(std::uint64_t request, core::time_ms now) {
+    for (auto position = open_.begin(); position != open_.end(); ++position) {
+        if (position->second.request == request) {
+            effects_.messages.push_back(
+                {position->second.scheduler, cancel_job{.number = position->first}});
+            finish(position,
+                   {.number = position->first,
+                    .result = job_result::lost,
+                    .reason = "the caller has left"},
+                   now);
+            return;
+        }
+    }
+}
+
+void job_desk::host_unreachable(std::string_view host, core::time_ms now) {
+    for (auto position = open_.begin(); position != open_.end();) {
+        position = position->second.scheduler != host
+                       ? std::next(position)
+                       : finish(position,
+                                {.number = position->first,
+                                 .result = job_result::lost,
+                                 .reason = "the scheduler cannot be reached"},
+                                now);
+    }
+}
+
+void job_desk::tick(core::time_ms now) {
+    for (auto position = open_.begin(); position != open_.end();) {
+        if (now < position->second.give_up_at) {
+            ++position;
+            continue;
+        }
+        effects_.messages.push_back(
+            {position->second.scheduler, cancel_job{.number = position->first}});
+        position = finish(position,
+                          {.number = position->first,
+                           .result = job_result::lost,
+                           .reason = "no answer long after the deadline"},
+                          now);
+    }
+}
+
+job_desk::open_map::iterator job_desk::finish(open_map::iterator position, const job_ended& end,
+                                              core::time_ms now) {
+    const auto& job = position->second;
+    effects_.answers.push_back({.request = job.request,
+                                .job = job.job,
+                                .result = end.result,
+                                .retry_after = end.retry_after,
+                                .reason = end.reason,
+                                .age = now - job.arrived});
+    return open_.erase(position);
+}
+
+desk_effects job_desk::take_effects() {
+    return std::exchange(effects_, {});
+}
+
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/src/hawthornstall/runs/job_desk.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+/// Jobs whose callers wait at this host.
+
+#include "hawthornstall/runs/run_messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::runs {
+
+/// An answer for a caller.
+struct desk_answer {
+    std::uint64_t request = 0; ///< Number of the caller's request.
+    std::string job;
+    job_result result = job_result::lost;
+    core::duration_ms retry_after{};
+    std::string reason;
+    core::duration_ms age{}; ///< Since the request arrived.
+};
+
+struct desk_effects {
+    std::vector<addressed_message> messages;
+    std::vector<desk_answer> answers;
+};
+
+/// Pure state machine. Each request that is opened gets exactly one answer.
+class job_desk {
+public:
+    /// Passes a job on to `scheduler`; without one the job is refused.
+    void open(std::uint64_t request, job_request job, const std::optional<std::string>& scheduler,
+              core::time_ms now);
+
+    /// Takes the end of a job.
+    void ended(std::string_view scheduler, const job_ended& message, core::time_ms now);
+
+    /// The caller has closed its connection.
+    void caller_left(std::uint64_t request, core::time_ms now);
+
+    /// Jobs at a scheduler that cannot be reached are lost: the caller may submit them again.
+    void host_unreachable(std::string_view host, core::time_ms now);
+
+    /// Gives up jobs long after their deadline.
+    void tick(core::time_ms now);
+
+    [[nodiscard]] desk_effects take_effects();
+
+    [[nodiscard]] bool idle() const noexcept { return open_.empty(); }
+
+private:
+    struct open_job {
+        std::uint64_t request = 0;
+        std::string job;
+        std::string scheduler;
+        core::time_ms arrived{};
+        core::time_ms give_up_at{};
+    };
+
+    using open_map = std::map<std::uint64_t, open_job>;
+
+    open_map::iterator finish(open_map::iterator position, const job_ended& end,
+                              core::time_ms now);
+
+    open_map open_; ///< By the number of the job.
+    std::uint64_t last_number_ = 0;
+    desk_effects effects_;
+};
+
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/src/hawthornstall/runs/job_record.cpp
@@ -0,0 +1,49 @@
+#include "hawthornstall/runs/job_record.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornstall::runs {
+
+core::duration_ms longest_chain(const job_request& job) {
+    std::vector<core::duration_ms> until;
+    core::duration_ms longest{};
+    for (const auto& step : job.steps) {
+        core::duration_ms begin{};
+        for (const auto earlier : step.after) {
+            begin = std::max(begin, until.at(earlier));
+        }
+        until.push_back(begin + step.estimated);
+        longest = std::max(longest, until.back());
+    }
+    return longest;
+}
+
+bool is_ready(const job_record& job, std::uint32_t step) {
+    const auto& after = job.request.steps.at(step).after;
+    return std::ranges::all_of(job.tasks, [&](const task_record& task) {
+        return task.state == task_record::phase::done ||
+               std::ranges::find(after, task.step) == after.end();
+    });
+}
+
+job_record make_job_record(job_request request, core::time_ms now) {
+    job_record job;
+    const auto chain = longest_chain(request);
+    const auto stretched = static_cast<double>(chain.count()) * request.terms.stretch;
+    job.arrived = now;
+    job.due = now + core::duration_ms{static_cast<core::duration_ms::rep>(stretched)} +
+              request.terms.latency_target;
+    job.useful_until = now + request.terms.deadline;
+    for (std::uint32_t step = 0; step < request.steps.size(); ++step) {
+        for (std::uint32_t index = 0; index < request.steps[step].count; ++index) {
+            auto& task = job.tasks.emplace_back();
+            task.step = step;
+            task.index = index;
+        }
+    }
+    job.request = std::move(request);
+    return job;
+}
+
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/src/hawthornstall/runs/job_record.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+/// A job as its scheduler sees it.
+
+#include "hawthornstall/core/ms_clock.hpp"
+#include "hawthornstall/runs/job.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hawthornstall::runs {
+
+/// Front end that waits for a job.
+struct job_waiter {
+    std::string host;
+    std::uint64_t number = 0; ///< The front end's number of the job.
+
+    bool operator==(const job_waiter&) const = default;
+};
+
+/// State of one task.
+struct task_record {
+    enum class phase : std::uint8_t { pending, running, done };
+
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    phase state = phase::pending;
+    std::uint32_t last_run = 0;     ///< Number of the latest start.
+    std::uint32_t failures = 0;     ///< Runs that ended as failed.
+    std::uint64_t key = 0;          ///< Of the current run.
+    std::string target;             ///< Of the current or latest run.
+    std::string holder;             ///< Of the current run.
+    core::time_ms not_before{};     ///< An earlier run may still be under way until then.
+};
+
+/// State of one job.
+struct job_record {
+    job_request request;
+    std::vector<job_waiter> waiters;
+    std::vector<task_record> tasks;
+    core::time_ms arrived{};
+    core::time_ms due{};       ///< Objective: an answer by then is in time.
+    core::time_ms useful_until{}; ///< The caller waits until then.
+    bool started = false;      ///< A task has been ordered to start.
+    bool ending = false;       ///< Nothing is started any more; `result` follows the last run.
+    job_result result = job_result::completed;
+    std::string reason;
+};
+
+/// Declared run time of the longest chain of steps.
+[[nodiscard]] core::duration_ms longest_chain(const job_request& job);
+
+/// Whether all steps that `step` waits for are done.
+[[nodiscard]] bool is_ready(const job_record& job, std::uint32_t step);
+
+/// A job that arrives at `now`, with its tasks.
+[[nodiscard]] job_record make_job_record(job_request request, core::time_ms now);
+
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/src/hawthornstall/runs/job_scheduler.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+/// Decides which tasks of which jobs start where. Holders carry its orders out.
+
+#include "hawthornstall/runs/job_record.hpp"
+#include "hawthornstall/runs/room_pool.hpp"
+#include "hawthornstall/runs/run_messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace hawthornstall::runs {
+
+/// A decision, for the log.
+struct job_event {
+    std::string_view what; ///< For example "job_refused".
+    std::string job;
+    std::string detail;
+    core::duration_ms age{}; ///< Since the job arrived.
+};
+
+struct scheduler_effects {
+    std::vector<addressed_message> messages;
+    std::vector<job_event> events;
+};
+
+/// Pure state machine. Inputs change its state; place() starts what fits.
+class job_scheduler {
+public:
+    void submit(const std::string& host, const submit_job& message, core::time_ms now);
+    void cancel(const std::string& host, const cancel_job& message, core::time_ms now);
+    void run_over(const run_ended& message, core::time_ms now);
+    void report(const std::string& holder, const target_report& report, core::time_ms now);
+    void host_unreachable(std::string_view host, core::time_ms now);
+
+    /// Starts what fits, in the order of the objectives, and refuses what can no longer be served.
+    void place(core::time_ms now);
+
+    [[nodiscard]] scheduler_effects take_effects() { return std::exchange(effects_, {}); }
+
+    /// Whether no job is left.
+    [[nodiscard]] bool idle() const noexcept { return jobs_.empty(); }
+
+    /// Jobs of which no task has started.
+    [[nodiscard]] std::size_t waiting() const;
+
+private:
+    using job_map = std::map<std::string, job_record, std::less<>>;
+
+    struct run_order {
+        std::string job;
+        std::size_t task = 0;
+    };
+
+    [[nodiscard]] bool refuse_hopeless(job_record& job, core::time_ms now);
+    [[nodiscard]] core::duration_ms expected_wait(const job_record& job) const;
+    [[nodiscard]] std::vector<job_record*> ordered_jobs(core::time_ms now);
+    bool place_task(job_record& job, std::size_t index, core::time_ms now);
+    [[nodiscard]] std::vector<std::string> crowded_targets(const job_record& job,
+                                                           const task_record& task) const;
+    void start_ending(job_record& job, job_result result, std::string_view reason,
+                      core::time_ms now);
+    void finish_if_over(job_record& job, core::time_ms now);
+    void answer(const job_record& job, core::duration_ms retry_after, core::time_ms now);
+    void remove_waiters(job_record& job, std::string_view host, core::time_ms now);
+
+    room_pool pool_;
+    job_map jobs_;
+    std::map<std::uint64_t, run_order> orders_; ///< By run key.
+    std::uint64_t last_key_ = 0;
+    scheduler_effects effects_;
+};
+
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/src/hawthornstall/runs/room_pool.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+/// Room on the targets of all holders, as one scheduler sees it.
+
+#include "hawthornstall/runs/job.hpp"
+#include "hawthornstall/runs/run_messages.hpp"
+#include "hawthornstall/scheduling/target_health.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace hawthornstall::runs {
+
+/// Where a task goes.
+struct placement {
+    std::string target;
+    std::string holder;
+};
+
+/// What a task asks of a target besides room.
+struct placement_request {
+    std::string_view service;
+    const job_step* step = nullptr;
+    std::span<const std::string> crowded; ///< Targets that hold as many tasks of the step as may be.
+    std::string_view avoid;               ///< Target on which the task failed before.
+};
+
+/// Pure. Reservations last from the order until the holder reports the end of the run.
+class room_pool {
+public:
+    /// Takes the report of a holder, which names all of its targets.
+    void report(const std::string& holder, const target_report& report, core::time_ms now);
+
+    /// Forgets the targets of a holder that cannot be reached.
+    void drop_holder(std::string_view holder);
+
+    /// The best target that has room now: fast ones first, then the tightest fit.
+    [[nodiscard]] std::optional<placement> pick(const placement_request& request,
+                                                core::time_ms now) const;
+
+    void reserve(std::string_view target, const core::room& room);
+    void release(std::string_view target, const core::room& room);
+
+    /// Learns from the end of a run that was declared to take `estimated`.
+    void learn(std::string_view target, run_end end, core::duration_ms ran_for,
+               core::duration_ms estimated, core::time_ms now);
+
+    /// Whether any known target of the service could ever hold a task of `step`.
+    [[nodiscard]] bool could_hold(std::string_view service, const job_step& step) const;
+
+    /// Processor capacity of the usable targets of a service.
+    [[nodiscard]] std::int64_t usable_cpu_millis(std::string_view service) const;
+
+private:
+    struct pooled_target {
+        held_target target;
+        std::string holder;
+        core::room reserved;
+        scheduling::target_health health;
+        core::time_ms ejected_until{};
+        double slowness = 1.0; ///< Run time against the declared one, smoothed.
+        std::uint32_t running = 0;
+    };
+
+    [[nodiscard]] static bool may_run(const pooled_target& item, const placement_request& request);
+    [[nodiscard]] bool may_eject() const;
+
+    std::map<std::string, pooled_target, std::less<>> targets_;
+};
+
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/src/hawthornstall/runs/target_holder.cpp
@@ -0,0 +1,185 @@
+#include "hawthornstall/runs/target_holder.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornstall::runs {
+namespace detail {
+
+/// A new process waits for this long for the presence of other hosts before it takes targets over.
+constexpr core::duration_ms settle_time{1'000};
+
+/// Pause before a target that another holder took over is claimed again.
+constexpr core::duration_ms fenced_pause{1'000};
+
+/// Pause between two reports to the schedulers.
+constexpr core::duration_ms report_interval{100};
+
+/// A scheduler that has ordered nothing for this long gets no reports, unless it is the chosen one.
+constexpr core::duration_ms forget_scheduler_after{5'000};
+
+} // namespace detail
+
+std::uint64_t fencing_tokens::next(core::time_ms wall) {
+    constexpr std::int64_t ms_per_second = 1000;
+    const auto second = std::max<std::int64_t>(core::to_count(wall) / ms_per_second - first_second, 1);
+    last_epoch_ = std::max(static_cast<std::uint64_t>(second), last_epoch_ + 1);
+    return (last_epoch_ << host_bit_count) | host_bits_;
+}
+
+target_holder::target_holder(run_bounds bounds, std::uint64_t host_bits, core::time_ms now)
+    : bounds_(bounds), tokens_(host_bits), first_claim_at_(now + detail::settle_time) {}
+
+void target_holder::start(const std::string& scheduler, const start_run& order,
+                          core::time_ms now) {
+    schedulers_[scheduler] = now;
+    const auto found = sessions_.find(order.target);
+    if (found == sessions_.end() || found->second.released) {
+        effects_.messages.push_back(
+            {scheduler, run_ended{.key = order.key, .end = run_end::rejected}});
+        return;
+    }
+    found->second.session.start(scheduler, order, now);
+    collect(found->second.session);
+}
+
+void target_holder::stop(const std::string& scheduler, const stop_run& order, core::time_ms now) {
+    const auto found = sessions_.find(order.target);
+    if (found != sessions_.end()) {
+        found->second.session.stop({scheduler, order.key}, now);
+        collect(found->second.session);
+    }
+}
+
+void target_holder::scheduler_unreachable(std::string_view scheduler, core::time_ms now) {
+    for (auto& [id, held] : sessions_) {
+        held.session.stop_all_of(scheduler, now);
+        collect(held.session);
+    }
+    if (const auto found = schedulers_.find(scheduler); found != schedulers_.end()) {
+        schedulers_.erase(found);
+    }
+}
+
+void target_holder::answered(std::string_view target, std::uint64_t call,
+                             const call_answer& answer, core::time_ms now) {
+    const auto found = sessions_.find(target);
+    if (found != sessions_.end()) {
+        found->second.session.answered(call, answer, now);
+        collect(found->second.session);
+    }
+}
+
+void target_holder::tick(const discovery::target_roster& roster, const host_view& hosts,
+                         core::time_ms now, core::time_ms wall) {
+    give_up(roster, hosts, now);
+    take_over(roster, hosts, now, wall);
+    for (auto& [id, held] : sessions_) {
+        held.session.tick(now);
+        collect(held.session);
+    }
+    if (now < report_due_) {
+        return;
+    }
+    report_due_ = now + detail::report_interval;
+    std::erase_if(schedulers_, [&](const auto& item) {
+        return now - item.second > detail::forget_scheduler_after;
+    });
+    std::set<std::string> receivers;
+    for (const auto& [name, last_order] : schedulers_) {
+        receivers.insert(name);
+    }
+    if (auto chosen = hosts.scheduler()) {
+        receivers.insert(std::move(*chosen));
+    }
+    for (const auto& receiver : receivers) {
+        report_to(receiver);
+    }
+}
+
+void target_holder::take_over(const discovery::target_roster& roster, const host_view& hosts,
+                              core::time_ms now, core::time_ms wall) {
+    if (now < first_claim_at_ || hosts.self().leaving) {
+        return;
+    }
+    for (auto& record : roster.targets()) {
+        const auto retry = retry_at_.find(record.id);
+        const bool is_paused = retry != retry_at_.end() && now < retry->second;
+        if (is_paused || sessions_.contains(record.id) || hosts.held_elsewhere(record.id) ||
+            hosts.preferred_holder(record.id, record.zone) != hosts.self().host.name) {
+            continue;
+        }
+        const auto id = record.id;
+        const auto place = sessions_.emplace(
+            id, held_session{target_session{std::move(record), tokens_.next(wall), bounds_, now}});
+        effects_.held_changed = true;
+        collect(place.first->second.session);
+    }
+}
+
+void target_holder::give_up(const discovery::target_roster& roster, const host_view& hosts,
+                            core::time_ms now) {
+    for (auto position = sessions_.begin(); position != sessions_.end();) {
+        auto& [id, held] = *position;
+        const auto* const record = roster.find(id);
+        if (record != nullptr && *record != held.session.record()) {
+            held.session.update(*record, now);
+            collect(held.session);
+        }
+        held.released =
+            hosts.self().leaving || record == nullptr ||
+            hosts.preferred_holder(id, held.session.record().zone) != hosts.self().host.name;
+        if (held.session.fenced()) {
+            retry_at_[id] = now + detail::fenced_pause;
+        }
+        if (held.session.fenced() || (held.released && held.session.idle())) {
+            position = sessions_.erase(position);
+            effects_.held_changed = true;
+        } else {
+            ++position;
+        }
+    }
+}
+
+void target_holder::report_to(const std::string& scheduler) {
+    target_report report;
+    for (const auto& [id, held] : sessions_) {
+        const auto& record = held.session.record();
+        report.targets.push_back({.id = id,
+                                  .incarnation = record.incarnation,
+                                  .service = record.service,
+                                  .zone = record.zone,
+                                  .labels = record.labels,
+                                  .capacity = record.capacity,
+                                  .used_by_others = held.session.used_by_others(scheduler),
+                                  .usable = held.session.usable() && !held.released});
+    }
+    effects_.messages.push_back({scheduler, std::move(report)});
+}
+
+void target_holder::collect(target_session& session) {
+    auto effects = session.take_effects();
+    std::ranges::move(effects.calls, std::back_inserter(effects_.calls));
+    for (auto& report : effects.reports) {
+        effects_.messages.push_back({std::move(report.scheduler), report.ended});
+    }
+}
+
+holder_effects target_holder::take_effects() {
+    return std::exchange(effects_, {});
+}
+
+std::vector<std::string> target_holder::held() const {
+    std::vector<std::string> ids;
+    for (const auto& [id, held] : sessions_) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+bool target_holder::idle() const {
+    return std::ranges::all_of(sessions_,
+                               [](const auto& item) { return item.second.session.idle(); });
+}
+
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/src/hawthornstall/runs/target_session.cpp
@@ -0,0 +1,340 @@
+#include "hawthornstall/runs/target_session.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornstall::runs {
+namespace detail {
+
+/// An answer takes about a millisecond; a call without one for this long is not waited for.
+constexpr core::duration_ms call_timeout{300};
+
+/// Pause before a target that did not answer is called again.
+constexpr core::duration_ms retry_pause{100};
+
+/// A listing waits for an end for at most this share of the longest lease, so that a renewal that
+/// gets lost can be repeated before the lease ends.
+constexpr int lease_renewals = 2;
+
+/// A last listing tells an idle target that its ends are known.
+constexpr core::duration_ms acknowledge_after{200};
+
+} // namespace detail
+
+target_session::target_session(discovery::target_record record, std::uint64_t token,
+                               run_bounds bounds, core::time_ms now)
+    : record_(std::move(record)), token_(token), bounds_(bounds), lapses_at_(now), retry_at_(now) {
+    list(core::duration_ms{0}, now);
+}
+
+void target_session::update(const discovery::target_record& record, core::time_ms now) {
+    if (record.incarnation != record_.incarnation || record.address != record_.address) {
+        note_other_life(now);
+        other_life_ = false;
+        claimed_ = false;
+        record_ = record;
+        list(core::duration_ms{0}, now);
+        return;
+    }
+    record_ = record;
+}
+
+void target_session::start(const std::string& scheduler, const start_run& order,
+                           core::time_ms now) {
+    const run_entry entry{.key = run_key{scheduler, order.key},
+                          .run = order.run,
+                          .room = order.room,
+                          .state = phase::starting,
+                          .started = now,
+                          .changed = now};
+    auto free = record_.capacity;
+    for (const auto& known : runs_) {
+        free -= known.room;
+    }
+    const auto lease = new_lease(now);
+    if (!usable() || !free.holds(order.room) || !lease || find(order.run) != runs_.end()) {
+        report(entry, run_end::rejected, {}, now);
+        return;
+    }
+    runs_.push_back(entry);
+    call(start_call{order.run, order.specification, *lease}, detail::call_timeout, now);
+    list(bounds_.longest_lease / detail::lease_renewals, now);
+}
+
+void target_session::stop(const run_key& key, core::time_ms now) {
+    for (auto& entry : runs_) {
+        if (entry.key == key && (entry.state == phase::starting || entry.state == phase::running)) {
+            send_stop(entry, now);
+        }
+    }
+}
+
+void target_session::stop_all_of(std::string_view scheduler, core::time_ms now) {
+    for (auto& entry : runs_) {
+        if (entry.key && entry.key->scheduler == scheduler &&
+            (entry.state == phase::starting || entry.state == phase::running)) {
+            send_stop(entry, now);
+        }
+    }
+}
+
+void target_session::send_stop(run_entry& entry, core::time_ms now) {
+    entry.state = phase::stopping;
+    entry.changed = now;
+    call(stop_call{entry.run}, detail::call_timeout, now);
+}
+
+void target_session::answered(std::uint64_t number, const call_answer& answer,
+                              core::time_ms now) {
+    const auto found = calls_.find(number);
+    if (found == calls_.end()) {
+        return;
+    }
+    const auto open = std::move(found->second);
+    calls_.erase(found);
+    if (waiting_listing_ == number) {
+        waiting_listing_.reset();
+    }
+    if (fenced_) {
+        return;
+    }
+    note_answer(open, answer, now);
+    if (answer.fault == call_fault::fenced) {
+        note_fence(now);
+    } else if (answer.fault == call_fault::another_life) {
+        note_other_life(now);
+    } else {
+        std::visit([&](const auto& request) { handle(request, open, answer, now); }, open.request);
+    }
+}
+
+void target_session::note_answer(const open_call& call, const call_answer& answer,
+                                 core::time_ms now) {
+    const bool silent = answer.fault == call_fault::unanswered ||
+                        answer.fault == call_fault::not_delivered;
+    reachable_ = !silent;
+    if (silent) {
+        retry_at_ = now + detail::retry_pause;
+    }
+    if (answer.clock_ms) {
+        // The answer may have been underway since just after the call was sent: counting from
+        // there never takes the target's clock for later than it may be by the round trip.
+        clock_ = answer.clock_ms;
+        clock_at_ = std::max(call.sent, now - detail::call_timeout);
+    }
+}
+
+void target_session::handle(const start_call& request, const open_call& /*call*/,
+                            const call_answer& answer, core::time_ms now) {
+    const auto entry = find(request.run);
+    if (entry == runs_.end() || entry->state != phase::starting) {
+        return;
+    }
+    if (!answer.fault) {
+        entry->state = phase::running;
+        entry->changed = now;
+    } else if (answer.fault == call_fault::unanswered) {
+        // The start may still be carried out: only a stop that is answered settles it.
+        send_stop(*entry, now);
+    } else {
+        finish(entry, run_end::rejected, now);
+    }
+}
+
+void target_session::handle(const stop_call& request, const open_call& /*call*/,
+                            const call_answer& answer, core::time_ms now) {
+    const auto entry = find(request.run);
+    if (entry == runs_.end() || entry->state != phase::stopping) {
+        return;
+    }
+    if (!answer.fault) {
+        entry->state = phase::barred;
+        entry->changed = now;
+        list(core::duration_ms{0}, now);
+    }
+    // Without an answer tick() sends the stop again.
+}
+
+void target_session::handle(const list_call& /*request*/, const open_call& call,
+                            const call_answer& answer, core::time_ms now) {
+    if (answer.fault) {
+        retry_at_ = now + detail::retry_pause;
+        return;
+    }
+    take_listing(answer.listing, call.sent, now);
+    if (!runs_.empty()) {
+        list(bounds_.longest_lease / detail::lease_renewals, now);
+    }
+}
+
+void target_session::take_listing(const run_listing& listing, core::time_ms sent,
+                                  core::time_ms now) {
+    if (listing.incarnation != 0 && record_.incarnation != 0 &&
+        listing.incarnation != record_.incarnation) {
+        note_other_life(now);
+        return;
+    }
+    for (const auto& end : listing.ended) {
+        ends_seen_ = std::max(ends_seen_, end.number);
+        if (const auto entry = find(end.run); entry != runs_.end()) {
+            finish(entry, end.end, now);
+        }
+    }
+    take_running(listing, now);
+    settle_missing(listing, sent, now);
+    claimed_ = true;
+}
+
+/// Runs of an earlier holder are stopped: nobody waits for them any more.
+void target_session::take_running(const run_listing& listing, core::time_ms now) {
+    for (const auto& run : listing.running) {
+        if (find(run) == runs_.end()) {
+            runs_.push_back({.key = std::nullopt, .run = run, .room = {}, .started = now});
+            send_stop(runs_.back(), now);
+        }
+    }
+}
+
+/// A run that a listing shows neither as running nor as ended is gone, if the answer to its start
+/// or stop was here before the listing was asked for.
+void target_session::settle_missing(const run_listing& listing, core::time_ms sent,
+                                    core::time_ms now) {
+    for (auto entry = runs_.begin(); entry != runs_.end();) {
+        const bool is_listed =
+            std::ranges::find(listing.running, entry->run) != listing.running.end();
+        const bool is_certain = (entry->state == phase::running || entry->state == phase::barred) &&
+                                entry->changed < sent;
+        if (is_listed || !is_certain) {
+            ++entry;
+            continue;
+        }
+        const auto offset = entry - runs_.begin();
+        finish(entry, entry->state == phase::barred ? run_end::stopped : run_end::lost, now);
+        entry = runs_.begin() + offset;
+    }
+}
+
+/// A restarted target runs nothing of before.
+void target_session::note_other_life(core::time_ms now) {
+    other_life_ = true;
+    ends_seen_ = ends_acknowledged_ = 0;
+    clock_.reset();
+    calls_.clear();
+    waiting_listing_.reset();
+    finish_all(run_end::lost, {}, now);
+}
+
+/// The new holder stops the runs, or lets the lease end.
+void target_session::note_fence(core::time_ms now) {
+    fenced_ = true;
+    finish_all(run_end::lost, longest_span(bounds_.longest_lease) + bounds_.stop_time, now);
+}
+
+void target_session::tick(core::time_ms now) {
+    if (fenced_ || other_life_) {
+        return;
+    }
+    // After the last lease has ended, nothing of it runs any more; a start that is carried out
+    // later than that is refused by the target.
+    if (!reachable_ && !runs_.empty() && now > lapses_at_) {
+        finish_all(run_end::lapsed, {}, now);
+    }
+    if (now < retry_at_) {
+        return;
+    }
+    for (auto& entry : runs_) {
+        const bool unanswered = entry.state == phase::stopping &&
+                                now - entry.changed > detail::call_timeout + detail::retry_pause;
+        if (unanswered) {
+            send_stop(entry, now);
+        }
+    }
+    if (waiting_listing_) {
+        return;
+    }
+    const bool must_acknowledge = ends_acknowledged_ < ends_seen_;
+    if (!claimed_ || !reachable_ || !runs_.empty() || must_acknowledge) {
+        list(core::duration_ms{0}, now);
+    }
+}
+
+void target_session::list(core::duration_ms wait, core::time_ms now) {
+    if (wait.count() > 0) {
+        if (waiting_listing_) {
+            return;
+        }
+        waiting_listing_ = last_call_ + 1;
+    } else {
+        retry_at_ = now + detail::acknowledge_after;
+    }
+    ends_acknowledged_ = ends_seen_;
+    const auto lease = runs_.empty() ? std::nullopt : new_lease(now);
+    call(list_call{ends_seen_, lease, wait}, wait + detail::call_timeout, now);
+}
+
+std::optional<std::int64_t> target_session::new_lease(core::time_ms now) {
+    if (!clock_) {
+        return std::nullopt;
+    }
+    lapses_at_ = now + longest_span(bounds_.longest_lease) + detail::call_timeout;
+    return *clock_ + (now - clock_at_ + bounds_.longest_lease).count();
+}
+
+void target_session::call(target_request request, core::duration_ms timeout, core::time_ms now) {
+    const auto number = ++last_call_;
+    calls_[number] = {.request = request, .sent = now};
+    effects_.calls.push_back({.number = number,
+                              .target = record_.id,
+                              .address = record_.address,
+                              .fencing_token = token_,
+                              .timeout = timeout,
+                              .request = std::move(request)});
+}
+
+void target_session::finish(std::vector<run_entry>::iterator entry, run_end end,
+                            core::time_ms now) {
+    report(*entry, end, {}, now);
+    runs_.erase(entry);
+}
+
+void target_session::finish_all(run_end end, core::duration_ms settled_in, core::time_ms now) {
+    for (const auto& entry : runs_) {
+        report(entry, end, settled_in, now);
+    }
+    runs_.clear();
+}
+
+void target_session::report(const run_entry& entry, run_end end, core::duration_ms settled_in,
+                            core::time_ms now) {
+    if (entry.key) {
+        effects_.reports.push_back({entry.key->scheduler, run_ended{.key = entry.key->number,
+                                                                    .end = end,
+                                                                    .ran_for = now - entry.started,
+                                                                    .settled_in = settled_in}});
+    }
+}
+
+std::vector<target_session::run_entry>::iterator target_session::find(const run_name& run) {
+    return std::ranges::find(runs_, run, &run_entry::run);
+}
+
+bool target_session::has_foreign_runs() const noexcept {
+    return std::ranges::any_of(runs_, [](const run_entry& entry) { return !entry.key; });
+}
+
+bool target_session::usable() const noexcept {
+    return claimed_ && reachable_ && !fenced_ && !other_life_ && !record_.draining &&
+           !has_foreign_runs();
+}
+
+core::room target_session::used_by_others(std::string_view scheduler) const {
+    core::room used;
+    for (const auto& entry : runs_) {
+        if (!entry.key || entry.key->scheduler != scheduler) {
+            used += entry.room;
+        }
+    }
+    return used;
+}
+
+} // namespace hawthornstall::runs
--- a/src/hawthornstall/runtime/signal_wait.cpp
+++ b/src/hawthornstall/runtime/signal_wait.cpp
@@ -13,11 +13,24 @@
     return signals;
 }
 
+sigset_t all_signals() {
+    auto signals = termination_signals();
+    sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
+void block(const sigset_t& signals) {
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 } // namespace detail
 
 void block_termination_signals() {
-    const auto signals = detail::termination_signals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    detail::block(detail::termination_signals());
+}
+
+void block_all_requests() {
+    detail::block(detail::all_signals());
 }
 
 void wait_for_termination_signal() {
@@ -26,4 +39,11 @@
     sigwait(&signals, &signal);
 }
 
+signal_request wait_for_request() {
+    const auto signals = detail::all_signals();
+    int signal = 0;
+    sigwait(&signals, &signal);
+    return signal == SIGHUP ? signal_request::reload : signal_request::terminate;
+}
+
 } // namespace hawthornstall::runtime
--- /dev/null
+++ b/src/hawthornstall/settings/seeded_settings.cpp
@@ -0,0 +1,85 @@
+#include "hawthornstall/settings/seeded_settings.hpp"
+
+#include "hawthornstall/settings/host_entries.hpp"
+#include "hawthornstall/settings/json_document.hpp"
+#include "hawthornstall/settings/text_file.hpp"
+
+namespace hawthornstall::settings {
+namespace detail {
+
+using enum presence;
+
+constexpr list_range seed_range{1, 64};
+constexpr number_range port_range{1, 65'535, "port"};
+constexpr number_range lease_range{100, 600'000, "ms"};
+constexpr number_range stop_range{1, 60'000, "ms"};
+constexpr real_range share_range{0.001, 1024.0};
+constexpr real_range grace_range{0.5, 3'600.0};
+constexpr text_rule ip_rule{7, 45, nullptr, "an IP address"};
+
+void read_optional_address(object_checker& fields, std::string_view key,
+                           std::optional<socket_address>& address) {
+    if (fields.contains(key)) {
+        address.emplace();
+        read_address(fields, key, required, *address);
+    }
+}
+
+void read_seeds(object_checker& fields, std::vector<socket_address>& seeds) {
+    std::vector<std::string> texts;
+    fields.texts("seeds", required, seed_range, address_rule, texts);
+    for (const auto& text : texts) {
+        if (const auto parsed = parse_socket_address(text)) {
+            seeds.push_back(*parsed);
+        }
+    }
+}
+
+void read_seeded_settings(object_checker& fields, seeded_settings& settings) {
+    fields.text("name", required, name_rule, settings.name);
+    fields.text("zone", required, name_rule, settings.zone);
+    fields.text("ip", required, ip_rule, settings.ip);
+    fields.real("cpu_share", optional, share_range, settings.cpu_share);
+    fields.number("control_peer_port", required, port_range, settings.control_peer_port);
+    fields.number("entry_peer_port", required, port_range, settings.entry_peer_port);
+    read_seeds(fields, settings.seeds);
+    fields.flag("may_found", optional, settings.may_found);
+    read_optional_address(fields, "caller_address", settings.caller_address);
+    read_optional_address(fields, "readiness_address", settings.readiness_address);
+    read_optional_address(fields, "operator_address", settings.operator_address);
+    if (fields.contains("data_folder")) {
+        settings.data_folder.emplace();
+        fields.text("data_folder", required, path_rule, *settings.data_folder);
+    }
+    fields.duration("longest_lease_ms", optional, lease_range, settings.longest_lease);
+    fields.duration("stop_time_ms", optional, stop_range, settings.stop_time);
+    fields.real("shutdown_grace_s", optional, grace_range, settings.shutdown_grace_s);
+    read_log_level(fields, settings.level);
+    if (settings.control_peer_port == settings.entry_peer_port) {
+        fields.problems().add_conflict({"$.control_peer_port", "$.entry_peer_port"},
+                                       "the ports must differ");
+    }
+}
+
+} // namespace detail
+
+absl::StatusOr<seeded_settings> parse_seeded_settings(std::string_view text) {
+    seeded_settings settings;
+    const auto status = check_document(text, "parse_seeded_settings", [&](object_checker& fields) {
+        detail::read_seeded_settings(fields, settings);
+    });
+    if (!status.ok()) {
+        return status;
+    }
+    return settings;
+}
+
+absl::StatusOr<seeded_settings> load_seeded_settings(std::string_view path) {
+    const auto text = read_text_file(path);
+    if (!text.ok()) {
+        return text.status();
+    }
+    return parse_seeded_settings(*text);
+}
+
+} // namespace hawthornstall::settings
--- /dev/null
+++ b/src/hawthornstall/settings/seeded_settings.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+/// Settings of a host that is told a few control hosts and finds all others by itself.
+
+#include "hawthornstall/core/log_level.hpp"
+#include "hawthornstall/core/ms_clock.hpp"
+#include "hawthornstall/settings/socket_address.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::settings {
+
+/// Settings of one host, entry or control.
+struct seeded_settings {
+    std::string name;
+    std::string zone;
+    std::string ip;
+    double cpu_share = 1.0;             ///< Share of a core; the host's weight among others.
+    std::uint16_t control_peer_port = 0; ///< Peer port of every control host.
+    std::uint16_t entry_peer_port = 0;   ///< Peer port of every entry host.
+    std::vector<socket_address> seeds;   ///< Operators' addresses of some control hosts.
+    bool may_found = false; ///< Only at the first start of the whole system.
+    std::optional<socket_address> caller_address;
+    std::optional<socket_address> readiness_address;
+    std::optional<socket_address> operator_address;
+    std::optional<std::string> data_folder;
+    core::duration_ms longest_lease{1'000};
+    core::duration_ms stop_time{50};
+    double shutdown_grace_s = 6.0; ///< Seconds until a process that was asked to end is killed.
+    core::log_level level = core::log_level::info;
+
+    bool operator==(const seeded_settings&) const = default;
+};
+
+/// Checks the document as a whole; the error lists every problem with its path.
+[[nodiscard]] absl::StatusOr<seeded_settings> parse_seeded_settings(std::string_view text);
+
+/// Reads and checks the file at `path`.
+[[nodiscard]] absl::StatusOr<seeded_settings> load_seeded_settings(std::string_view path);
+
+} // namespace hawthornstall::settings
--- a/src/hawthornstall/telemetry/log_output.cpp
+++ b/src/hawthornstall/telemetry/log_output.cpp
@@ -124,6 +124,11 @@
     return state_->overflow_count;
 }
 
+std::shared_ptr<std::ostream> standard_output() {
+    return {&std::cout, [](std::ostream*) {
+            }};
+}
+
 std::shared_ptr<std::ostream> standard_error() {
     return {&std::cerr, [](std::ostream*) {
             }};
--- a/src/hawthornstall/telemetry/log_output.hpp
+++ b/src/hawthornstall/telemetry/log_output.hpp
@@ -49,4 +49,7 @@
 /// Stream that refers to the process's standard error.
 [[nodiscard]] std::shared_ptr<std::ostream> standard_error();
 
+/// Stream that refers to the process's standard output.
+[[nodiscard]] std::shared_ptr<std::ostream> standard_output();
+
 } // namespace hawthornstall::telemetry
--- a/src/programs/controld/main.cpp
+++ b/src/programs/controld/main.cpp
@@ -1,5 +1,6 @@
 /// hawthornstall-controld: one control host.
 
+#include "hawthornstall/control/control_event_log.hpp"
 #include "hawthornstall/control/control_logic.hpp"
 #include "hawthornstall/core/error.hpp"
 #include "hawthornstall/runtime/loop_task.hpp"
@@ -10,13 +11,10 @@
 
 #include <gflags/gflags.h>
 
-#include <atomic>
-#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <memory>
-#include <unistd.h>
 
 DEFINE_string(settings, "", "path of the JSON settings file");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
@@ -52,48 +50,10 @@
     return options;
 }
 
-/// Logs the events of the loop task; a failure of the storage also ends the process.
-class event_log {
-public:
-    explicit event_log(telemetry::log_output& output) : log_(output) {}
-
-    void operator()(const control::control_event& event) {
-        using kind = control::control_event::kind;
-        switch (event.what) {
-        case kind::folder_damaged:
-            log_.write({.level = core::log_level::error, .name = "data_folder_damaged"},
-                       {{"moved_to", std::string_view{event.detail}}});
-            break;
-        case kind::role_changed:
-            log_.write({.name = "role_changed"}, {{"role", std::string_view{event.detail}}});
-            break;
-        case kind::peer_reachable:
-            log_.write({.name = "peer_reachable", .peer = event.detail});
-            break;
-        case kind::peer_unreachable:
-            log_.write({.level = core::log_level::warning,
-                        .name = "peer_unreachable",
-                        .peer = event.detail});
-            break;
-        case kind::failed:
-            log_.write({.level = core::log_level::error, .name = "storage_failed"},
-                       {{"error", std::string_view{event.detail}}});
-            failed = true;
-            kill(getpid(), SIGTERM);
-            break;
-        }
-    }
-
-    static inline std::atomic<bool> failed = false;
-
-private:
-    telemetry::logger log_;
-};
-
 int run(const settings::control_settings& settings) {
     telemetry::log_output output{telemetry::standard_error(), settings.level};
     telemetry::logger log{output};
-    const auto events = std::make_shared<event_log>(output);
+    const auto events = std::make_shared<control::control_event_log>(output);
     const auto inbox = hawthornstall::runtime::make_mailbox<control::control_logic::message>(1);
     hawthornstall::runtime::loop_task<control::control_logic> task{
         inbox, make_options(settings),
@@ -104,7 +64,7 @@
     hawthornstall::runtime::wait_for_termination_signal();
     task.stop();
     log.write({.name = "shutdown_finished", .peer = settings.name});
-    return event_log::failed ? EXIT_FAILURE : EXIT_SUCCESS;
+    return events->failed() ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
 } // namespace
