--- a/src/hawthornstall/control/control_gateway.hpp
+++ b/src/hawthornstall/control/control_gateway.hpp
@@ -94,8 +94,9 @@
     }
 
     void handle(message input) {
-        std::visit([this](const auto& content) { finish(content.number, codec_.answer_to(content)); },
-                   input);
+        std::visit(
+            [this](const auto& content) { finish(content.number, codec_.answer_to(content)); },
+            input);
     }
 
 private:
--- a/src/hawthornstall/control/control_logic.cpp
+++ b/src/hawthornstall/control/control_logic.cpp
@@ -108,9 +108,8 @@
 }
 
 bool control_logic::is_control_host(std::string_view name) const {
-    return options_.control_port_suffix.empty()
-               ? detail::is_named(options_.control_hosts, name)
-               : name.ends_with(options_.control_port_suffix);
+    return options_.control_port_suffix.empty() ? detail::is_named(options_.control_hosts, name)
+                                                : name.ends_with(options_.control_port_suffix);
 }
 
 bool control_logic::is_entry_host(std::string_view name) const {
--- a/src/hawthornstall/control/control_service.hpp
+++ b/src/hawthornstall/control/control_service.hpp
@@ -251,8 +251,8 @@
 
     void answer_read(const requester& from, const numbered_read& request, read_state state) {
         if (state == read_state::confirmed) {
-            reply(from, numbered_state{.number = request.number,
-                                       .config = replica_.store().numbered()});
+            reply(from,
+                  numbered_state{.number = request.number, .config = replica_.store().numbered()});
         } else if (state == read_state::lost) {
             refuse(from, request);
         }
--- a/src/hawthornstall/control/document_layouts.hpp
+++ b/src/hawthornstall/control/document_layouts.hpp
@@ -87,15 +87,16 @@
 
 template <> struct layout<control::numbered_config> {
     using type = control::numbered_config;
-    static constexpr auto members = std::tuple{&type::version, &type::content, &type::actor,
-                                               &type::wall_time, &type::host};
+    static constexpr auto members =
+        std::tuple{&type::version, &type::content, &type::actor, &type::wall_time, &type::host};
 };
 
 template <> struct layout<control::store_snapshot> {
     using type = control::store_snapshot;
-    static constexpr auto members = std::tuple{
-        &type::revision,       &type::documents,     &type::changed_at_revision, &type::audit,
-        &type::accepted_edits, &type::refused_edits, &type::numbered, &type::numbered_at_revision};
+    static constexpr auto members =
+        std::tuple{&type::revision, &type::documents,           &type::changed_at_revision,
+                   &type::audit,    &type::accepted_edits,      &type::refused_edits,
+                   &type::numbered, &type::numbered_at_revision};
 };
 
 template <> struct layout<control::config_subscribe> {
--- a/src/hawthornstall/control/document_store.cpp
+++ b/src/hawthornstall/control/document_store.cpp
@@ -143,14 +143,14 @@
 
 void document_store::record(const edit_command& edit, std::uint64_t version) {
     append_audit({.revision = revision_,
-                      .edit_id = edit.edit_id,
-                      .service = edit.service,
-                      .actor = edit.actor,
-                      .actor_team = edit.actor_team,
-                      .from_version = edit.base_version,
-                      .to_version = version,
-                      .wall_time = edit.wall_time,
-                      .host = edit.host});
+                  .edit_id = edit.edit_id,
+                  .service = edit.service,
+                  .actor = edit.actor,
+                  .actor_team = edit.actor_team,
+                  .from_version = edit.base_version,
+                  .to_version = version,
+                  .wall_time = edit.wall_time,
+                  .host = edit.host});
 }
 
 std::span<const audit_record> document_store::audit_after(std::uint64_t revision,
@@ -162,7 +162,8 @@
 }
 
 config_delta document_store::delta_after(std::uint64_t revision) const {
-    config_delta delta{.from_revision = revision, .to_revision = revision_, .documents = {}, .numbered = {}};
+    config_delta delta{
+        .from_revision = revision, .to_revision = revision_, .documents = {}, .numbered = {}};
     for (std::size_t position = 0; position < documents_.size(); ++position) {
         if (changed_at_revision_[position] > revision) {
             delta.documents.push_back(documents_[position]);
--- a/src/hawthornstall/control/entry_messages.hpp
+++ b/src/hawthornstall/control/entry_messages.hpp
@@ -56,11 +56,11 @@
 };
 
 /// What an entry host sends. The order of the alternatives is part of the wire format.
-using entry_to_control = std::variant<config_subscribe, edit_request, audit_request, numbered_request,
-                                      numbered_read, discovery::host_hello>;
+using entry_to_control = std::variant<config_subscribe, edit_request, audit_request,
+                                      numbered_request, numbered_read, discovery::host_hello>;
 
 /// What a control host answers or publishes.
-using control_to_entry = std::variant<config_delta, config_digest, edit_reply, audit_reply, numbered_state,
-                                      discovery::host_list, discovery::target_news>;
+using control_to_entry = std::variant<config_delta, config_digest, edit_reply, audit_reply,
+                                      numbered_state, discovery::host_list, discovery::target_news>;
 
 } // namespace hawthornstall::control
--- a/src/hawthornstall/discovery/announcement_relay.cpp
+++ b/src/hawthornstall/discovery/announcement_relay.cpp
@@ -46,8 +46,8 @@
     return list;
 }
 
-std::vector<relay_message>
-announcement_relay::tick(core::time_ms now, const std::vector<std::string>& control_hosts) {
+std::vector<relay_message> announcement_relay::tick(core::time_ms now,
+                                                    const std::vector<std::string>& control_hosts) {
     std::vector<relay_message> messages;
     roster_.tick(now);
     if (hosts_changed_ || now >= list_due_) {
--- a/src/hawthornstall/discovery/target_roster.cpp
+++ b/src/hawthornstall/discovery/target_roster.cpp
@@ -41,8 +41,7 @@
     const auto found = entries_.find(record.id);
     if (found == entries_.end()) {
         entries_[record.id] = {.record = record, .heard = now, .left = true};
-    } else if (found->second.record.incarnation <= record.incarnation ||
-               record.incarnation == 0) {
+    } else if (found->second.record.incarnation <= record.incarnation || record.incarnation == 0) {
         found->second.heard = now;
         found->second.left = true;
     }
--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -122,8 +122,8 @@
 
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::take_call(const net::http_request& request) {
-    auto to_wish = pipeline::pipe(find_route{}, detail::decode_wish<Codec>{&codec_},
-                                  detail::check_wish{});
+    auto to_wish =
+        pipeline::pipe(find_route{}, detail::decode_wish<Codec>{&codec_}, detail::check_wish{});
     auto wish = to_wish(arrived_call{&request, &routes_});
     if (!wish.ok()) {
         report_({.level = core::log_level::warning,
@@ -138,7 +138,14 @@
 
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::serve(std::uint64_t request, job_request job) {
-    desk_.open(request, std::move(job), hosts_.scheduler(), now());
+    const auto scheduler = hosts_.scheduler();
+    report_({.name = "job_submitted",
+             .id = job.id,
+             .peer = scheduler.value_or(std::string{}),
+             .detail = "deadline " + std::to_string(job.terms.deadline.count()) + " ms, run time " +
+                       std::to_string(longest_chain(job).count()) + " ms, configuration " +
+                       std::to_string(routes_.version)});
+    desk_.open(request, std::move(job), scheduler, now());
     flush_soon();
 }
 
@@ -156,9 +163,8 @@
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::send_answer(std::uint64_t request, const caller_answer& answer) {
     // A caller that has left needs no answer; the server counts it.
-    (void)front_->answer(request, {.status = answer.status,
-                                   .body = answer.body,
-                                   .retry_after = answer.retry_after});
+    (void)front_->answer(
+        request, {.status = answer.status, .body = answer.body, .retry_after = answer.retry_after});
 }
 
 template <dispatch_codec Codec>
@@ -169,8 +175,7 @@
         {.status = is_ready ? detail::ready_status : detail::not_ready_status, .body = "{}"});
 }
 
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::answer_call(const desk_answer& answer) {
+template <dispatch_codec Codec> void dispatch_host<Codec>::answer_call(const desk_answer& answer) {
     const auto encoded = codec_.answer_to(answer);
     const bool is_good = answer.result == job_result::completed;
     report_({.level = is_good ? core::log_level::info : core::log_level::warning,
@@ -399,10 +404,8 @@
         scheduler_.place(now());
         auto scheduled = scheduler_.take_effects();
         for (const auto& event : scheduled.events) {
-            report_({.name = event.what,
-                     .id = event.job,
-                     .detail = event.detail,
-                     .age = event.age});
+            report_(
+                {.name = event.what, .id = event.job, .detail = event.detail, .age = event.age});
         }
         route(scheduled.messages);
         auto held = holder_.take_effects();
@@ -444,8 +447,7 @@
     }
 }
 
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::call_target(const target_call& call) {
+template <dispatch_codec Codec> void dispatch_host<Codec>::call_target(const target_call& call) {
     const auto encoded = codec_.encode(call);
     std::vector<net::http_header> headers;
     for (const auto& [name, value] : encoded.headers) {
@@ -478,8 +480,7 @@
     }
 }
 
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::finish_shutdown(core::time_ms time) {
+template <dispatch_codec Codec> void dispatch_host<Codec>::finish_shutdown(core::time_ms time) {
     if (!ended_) {
         return;
     }
--- a/src/hawthornstall/runs/dispatch_codec.hpp
+++ b/src/hawthornstall/runs/dispatch_codec.hpp
@@ -59,7 +59,8 @@
 template <class Codec>
 concept dispatch_codec = requires(Codec codec, std::string_view text, const routed_call& routed,
                                   const desk_answer& ended, const absl::Status& refusal,
-                                  const waiting_count& count, const target_call& call, const net::exchange_result& result) {
+                                  const waiting_count& count, const target_call& call,
+                                  const net::exchange_result& result) {
     { codec.decode_routes(text) } -> std::same_as<absl::StatusOr<route_table>>;
     { codec.decode_wish(routed) } -> std::same_as<absl::StatusOr<caller_wish>>;
     { codec.answer_to(count) } -> std::same_as<caller_answer>;
--- a/src/hawthornstall/runs/front_call.cpp
+++ b/src/hawthornstall/runs/front_call.cpp
@@ -17,8 +17,8 @@
     for (std::size_t index = 0; index < job.steps.size(); ++index) {
         const auto& step = job.steps[index];
         tasks += step.count;
-        const bool is_ordered = std::ranges::all_of(
-            step.after, [&](std::uint32_t earlier) { return earlier < index; });
+        const bool is_ordered =
+            std::ranges::all_of(step.after, [&](std::uint32_t earlier) { return earlier < index; });
         if (!is_ordered) {
             return core::make_error(absl::StatusCode::kInvalidArgument, origin,
                                     "a step may only come after earlier steps");
--- a/src/hawthornstall/runs/job.hpp
+++ b/src/hawthornstall/runs/job.hpp
@@ -15,12 +15,12 @@
 /// Tasks of one kind within a job.
 struct job_step {
     std::uint32_t count = 1;
-    core::room room;                   ///< What each task needs.
-    core::duration_ms estimated{};     ///< Declared run time; 0 when not declared.
-    std::vector<std::uint32_t> after;  ///< Earlier steps that must be done first.
-    std::string required_label;        ///< Empty: any target.
-    std::string data_rack;             ///< Label of the rack with the data; empty: none.
-    std::uint32_t max_per_target = 0;  ///< 0: no limit.
+    core::room room;                  ///< What each task needs.
+    core::duration_ms estimated{};    ///< Declared run time; 0 when not declared.
+    std::vector<std::uint32_t> after; ///< Earlier steps that must be done first.
+    std::string required_label;       ///< Empty: any target.
+    std::string data_rack;            ///< Label of the rack with the data; empty: none.
+    std::uint32_t max_per_target = 0; ///< 0: no limit.
 
     bool operator==(const job_step&) const = default;
 };
@@ -28,11 +28,11 @@
 /// What the queue of a job promises its callers.
 struct job_terms {
     std::string service;
-    std::uint32_t priority = 0;             ///< 0 is the most urgent.
-    std::uint32_t max_attempts = 1;         ///< Failed runs of one task after which the job fails.
-    double stretch = 1.0;                   ///< Factor of the objective on the run time.
-    core::duration_ms latency_target{};     ///< Added to the objective.
-    core::duration_ms deadline{};           ///< How long the caller waits.
+    std::uint32_t priority = 0;         ///< 0 is the most urgent.
+    std::uint32_t max_attempts = 1;     ///< Failed runs of one task after which the job fails.
+    double stretch = 1.0;               ///< Factor of the objective on the run time.
+    core::duration_ms latency_target{}; ///< Added to the objective.
+    core::duration_ms deadline{};       ///< How long the caller waits.
 
     bool operator==(const job_terms&) const = default;
 };
--- a/src/hawthornstall/runs/job_desk.hpp
+++ b/src/hawthornstall/runs/job_desk.hpp
@@ -62,8 +62,7 @@
 
     using open_map = std::map<std::uint64_t, open_job>;
 
-    open_map::iterator finish(open_map::iterator position, const job_ended& end,
-                              core::time_ms now);
+    open_map::iterator finish(open_map::iterator position, const job_ended& end, core::time_ms now);
 
     open_map open_; ///< By the number of the job.
     std::uint64_t last_number_ = 0;
--- a/src/hawthornstall/runs/job_record.hpp
+++ b/src/hawthornstall/runs/job_record.hpp
@@ -26,12 +26,12 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
     phase state = phase::pending;
-    std::uint32_t last_run = 0;     ///< Number of the latest start.
-    std::uint32_t failures = 0;     ///< Runs that ended as failed.
-    std::uint64_t key = 0;          ///< Of the current run.
-    std::string target;             ///< Of the current or latest run.
-    std::string holder;             ///< Of the current run.
-    core::time_ms not_before{};     ///< An earlier run may still be under way until then.
+    std::uint32_t last_run = 0; ///< Number of the latest start.
+    std::uint32_t failures = 0; ///< Runs that ended as failed.
+    std::uint64_t key = 0;      ///< Of the current run.
+    std::string target;         ///< Of the current or latest run.
+    std::string holder;         ///< Of the current run.
+    core::time_ms not_before{}; ///< An earlier run may still be under way until then.
 };
 
 /// State of one job.
@@ -40,10 +40,10 @@
     std::vector<job_waiter> waiters;
     std::vector<task_record> tasks;
     core::time_ms arrived{};
-    core::time_ms due{};       ///< Objective: an answer by then is in time.
+    core::time_ms due{};          ///< Objective: an answer by then is in time.
     core::time_ms useful_until{}; ///< The caller waits until then.
-    bool started = false;      ///< A task has been ordered to start.
-    bool ending = false;       ///< Nothing is started any more; `result` follows the last run.
+    bool started = false;         ///< A task has been ordered to start.
+    bool ending = false;          ///< Nothing is started any more; `result` follows the last run.
     job_result result = job_result::completed;
     std::string reason;
 };
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -34,8 +34,7 @@
 
 } // namespace detail
 
-void job_scheduler::submit(const std::string& host, const submit_job& message,
-                           core::time_ms now) {
+void job_scheduler::submit(const std::string& host, const submit_job& message, core::time_ms now) {
     const job_waiter waiter{host, message.number};
     const auto found = jobs_.find(message.job.id);
     if (found != jobs_.end()) {
@@ -84,15 +83,13 @@
     const auto room = static_cast<double>(pool_.usable_cpu_millis(job.request.terms.service)) *
                       detail::fillable_share;
     return room < 1.0 ? job.request.terms.deadline
-                      : core::duration_ms{static_cast<core::duration_ms::rep>(
-                            static_cast<double>(work) / room)};
+                      : core::duration_ms{
+                            static_cast<core::duration_ms::rep>(static_cast<double>(work) / room)};
 }
 
-void job_scheduler::cancel(const std::string& host, const cancel_job& message,
-                           core::time_ms now) {
+void job_scheduler::cancel(const std::string& host, const cancel_job& message, core::time_ms now) {
     for (auto& [id, job] : jobs_) {
-        if (std::erase(job.waiters, job_waiter{host, message.number}) > 0 &&
-            job.waiters.empty()) {
+        if (std::erase(job.waiters, job_waiter{host, message.number}) > 0 && job.waiters.empty()) {
             start_ending(job, job_result::lost, "the caller has left", now);
             finish_if_over(job, now);
             return;
@@ -176,9 +173,8 @@
 }
 
 void job_scheduler::finish_if_over(job_record& job, core::time_ms now) {
-    const bool all_done = std::ranges::all_of(job.tasks, [](const task_record& task) {
-        return task.state == detail::phase::done;
-    });
+    const bool all_done = std::ranges::all_of(
+        job.tasks, [](const task_record& task) { return task.state == detail::phase::done; });
     if (!all_done && (!job.ending || detail::has_running(job))) {
         return;
     }
@@ -198,8 +194,8 @@
                                                             .retry_after = retry_after,
                                                             .reason = job.reason}});
     }
-    effects_.events.push_back({"job_ended", job.request.id,
-                               std::string{to_string(job.result)}, now - job.arrived});
+    effects_.events.push_back(
+        {"job_ended", job.request.id, std::string{to_string(job.result)}, now - job.arrived});
 }
 
 /// Jobs that have begun come first, then those that can still meet their objective, by objective.
--- a/src/hawthornstall/runs/room_pool.cpp
+++ b/src/hawthornstall/runs/room_pool.cpp
@@ -19,8 +19,7 @@
 constexpr double largest_ratio = 8.0;
 
 bool has_label(const held_target& target, std::string_view label) {
-    return label.empty() ||
-           std::ranges::find(target.labels, label) != target.labels.end();
+    return label.empty() || std::ranges::find(target.labels, label) != target.labels.end();
 }
 
 int slowness_class(double slowness) {
--- a/src/hawthornstall/runs/room_pool.hpp
+++ b/src/hawthornstall/runs/room_pool.hpp
@@ -25,8 +25,9 @@
 struct placement_request {
     std::string_view service;
     const job_step* step = nullptr;
-    std::span<const std::string> crowded; ///< Targets that hold as many tasks of the step as may be.
-    std::string_view avoid;               ///< Target on which the task failed before.
+    std::span<const std::string>
+        crowded;            ///< Targets that hold as many tasks of the step as may be.
+    std::string_view avoid; ///< Target on which the task failed before.
 };
 
 /// Pure. Reservations last from the order until the holder reports the end of the run.
--- a/src/hawthornstall/runs/target_holder.cpp
+++ b/src/hawthornstall/runs/target_holder.cpp
@@ -22,7 +22,8 @@
 
 std::uint64_t fencing_tokens::next(core::time_ms wall) {
     constexpr std::int64_t ms_per_second = 1000;
-    const auto second = std::max<std::int64_t>(core::to_count(wall) / ms_per_second - first_second, 1);
+    const auto second =
+        std::max<std::int64_t>(core::to_count(wall) / ms_per_second - first_second, 1);
     last_epoch_ = std::max(static_cast<std::uint64_t>(second), last_epoch_ + 1);
     return (last_epoch_ << host_bit_count) | host_bits_;
 }
@@ -30,8 +31,7 @@
 target_holder::target_holder(run_bounds bounds, std::uint64_t host_bits, core::time_ms now)
     : bounds_(bounds), tokens_(host_bits), first_claim_at_(now + detail::settle_time) {}
 
-void target_holder::start(const std::string& scheduler, const start_run& order,
-                          core::time_ms now) {
+void target_holder::start(const std::string& scheduler, const start_run& order, core::time_ms now) {
     schedulers_[scheduler] = now;
     const auto found = sessions_.find(order.target);
     if (found == sessions_.end() || found->second.released) {
@@ -61,8 +61,8 @@
     }
 }
 
-void target_holder::answered(std::string_view target, std::uint64_t call,
-                             const call_answer& answer, core::time_ms now) {
+void target_holder::answered(std::string_view target, std::uint64_t call, const call_answer& answer,
+                             core::time_ms now) {
     const auto found = sessions_.find(target);
     if (found != sessions_.end()) {
         found->second.session.answered(call, answer, now);
--- a/src/hawthornstall/runs/target_holder.hpp
+++ b/src/hawthornstall/runs/target_holder.hpp
@@ -70,8 +70,7 @@
 private:
     void take_over(const discovery::target_roster& roster, const host_view& hosts,
                    core::time_ms now, core::time_ms wall);
-    void give_up(const discovery::target_roster& roster, const host_view& hosts,
-                 core::time_ms now);
+    void give_up(const discovery::target_roster& roster, const host_view& hosts, core::time_ms now);
     void report_to(const std::string& scheduler);
     void collect(target_session& session);
 
@@ -83,7 +82,7 @@
     run_bounds bounds_;
     fencing_tokens tokens_;
     std::map<std::string, held_session, std::less<>> sessions_;
-    std::map<std::string, core::time_ms, std::less<>> retry_at_; ///< By target, after a fence.
+    std::map<std::string, core::time_ms, std::less<>> retry_at_;   ///< By target, after a fence.
     std::map<std::string, core::time_ms, std::less<>> schedulers_; ///< Last order of each.
     core::time_ms first_claim_at_;
     core::time_ms report_due_{};
--- a/src/hawthornstall/runs/target_session.cpp
+++ b/src/hawthornstall/runs/target_session.cpp
@@ -84,8 +84,7 @@
     call(stop_call{entry.run}, detail::call_timeout, now);
 }
 
-void target_session::answered(std::uint64_t number, const call_answer& answer,
-                              core::time_ms now) {
+void target_session::answered(std::uint64_t number, const call_answer& answer, core::time_ms now) {
     const auto found = calls_.find(number);
     if (found == calls_.end()) {
         return;
@@ -110,8 +109,8 @@
 
 void target_session::note_answer(const open_call& call, const call_answer& answer,
                                  core::time_ms now) {
-    const bool silent = answer.fault == call_fault::unanswered ||
-                        answer.fault == call_fault::not_delivered;
+    const bool silent =
+        answer.fault == call_fault::unanswered || answer.fault == call_fault::not_delivered;
     reachable_ = !silent;
     if (silent) {
         retry_at_ = now + detail::retry_pause;
--- a/src/hawthornstall/runs/target_session.hpp
+++ b/src/hawthornstall/runs/target_session.hpp
@@ -78,7 +78,7 @@
         core::room room;
         phase state = phase::starting;
         core::time_ms started{};
-        core::time_ms changed{};       ///< When `state` was entered.
+        core::time_ms changed{}; ///< When `state` was entered.
     };
 
     struct open_call {
