--- a/src/hawthornstall/control/control_logic.hpp
+++ b/src/hawthornstall/control/control_logic.hpp
@@ -61,13 +61,13 @@
 /// Answer to local_config_put; without an answer the change is undecided.
 struct local_put_ended {
     std::uint64_t number = 0;
-    std::optional<edit_answer> answer;
+    std::optional<edit_answer> answer{};
 };
 
 /// Answer to local_config_read; without one no quorum could confirm it.
 struct local_read_ended {
     std::uint64_t number = 0;
-    std::optional<numbered_config> config;
+    std::optional<numbered_config> config{};
 };
 
 /// What the task that serves operators and targets is told.
--- a/src/hawthornstall/control/document_messages.hpp
+++ b/src/hawthornstall/control/document_messages.hpp
@@ -26,7 +26,7 @@
     std::uint64_t from_revision = 0;
     std::uint64_t to_revision = 0;
     std::vector<core::service_document> documents;
-    std::optional<numbered_config> numbered; ///< Present when it changed after `from_revision`.
+    std::optional<numbered_config> numbered{}; ///< Present when it changed after `from_revision`.
 
     bool operator==(const config_delta&) const = default;
 };
--- a/src/hawthornstall/control/entry_messages.hpp
+++ b/src/hawthornstall/control/entry_messages.hpp
@@ -23,7 +23,7 @@
 /// End of an edit; without an answer it is undecided and has to be sent again.
 struct edit_reply {
     std::uint64_t number = 0;
-    std::optional<edit_answer> answer;
+    std::optional<edit_answer> answer{};
 };
 
 /// Asks for the audit records after `after_revision`, at most `limit`.
@@ -52,7 +52,7 @@
 /// The confirmed configuration; nothing when no quorum could confirm it.
 struct numbered_state {
     std::uint64_t number = 0;
-    std::optional<numbered_config> config;
+    std::optional<numbered_config> config{};
 };
 
 /// What an entry host sends. The order of the alternatives is part of the wire format.
--- a/src/hawthornstall/discovery/messages.hpp
+++ b/src/hawthornstall/discovery/messages.hpp
@@ -12,19 +12,19 @@
 
 /// Sent by each entry host to each control host that it knows, about once a second.
 struct host_hello {
-    host_record host;
+    host_record host{};
 };
 
 /// The hosts that a control host hears from.
 struct host_list {
-    std::vector<host_record> entry_hosts;
-    std::vector<std::string> control_hosts;
+    std::vector<host_record> entry_hosts{};
+    std::vector<std::string> control_hosts{};
 };
 
 /// Announcements since the last message, or all known targets for a new listener.
 struct target_news {
-    std::vector<target_record> targets;
-    std::vector<target_record> left; ///< Targets that ended as planned.
+    std::vector<target_record> targets{};
+    std::vector<target_record> left{}; ///< Targets that ended as planned.
 };
 
 } // namespace hawthornstall::discovery
--- a/src/hawthornstall/discovery/target_record.hpp
+++ b/src/hawthornstall/discovery/target_record.hpp
@@ -14,14 +14,14 @@
 
 /// One announcement of a target; a later one has a larger (incarnation, sequence).
 struct target_record {
-    std::string id;
+    std::string id{};
     std::uint64_t incarnation = 0; ///< Start of this life of the target, Unix ms; 0 when not told.
     std::uint64_t sequence = 0;    ///< Grows with each announcement of one incarnation.
-    std::string service;
-    std::string address; ///< "ip:port".
-    std::string zone;
-    std::vector<std::string> labels;
-    core::room capacity;
+    std::string service{};
+    std::string address{}; ///< "ip:port".
+    std::string zone{};
+    std::vector<std::string> labels{};
+    core::room capacity{};
     bool draining = false; ///< The target leaves soon and takes no new work.
 
     bool operator==(const target_record&) const = default;
--- a/src/hawthornstall/runs/dispatch_codec.hpp
+++ b/src/hawthornstall/runs/dispatch_codec.hpp
@@ -25,7 +25,7 @@
 /// An answer to a caller.
 struct caller_answer {
     int status = 200;
-    std::string body;
+    std::string body{};
     core::duration_ms retry_after{};
 };
 
@@ -34,7 +34,7 @@
 
 /// Asks for, or cancels, a job by its id.
 struct job_question {
-    std::string id;
+    std::string id{};
 };
 
 /// What a caller wants of a queue.
@@ -50,9 +50,9 @@
 
 /// A call to a target in the form in which it travels.
 struct encoded_call {
-    std::string path;
-    std::vector<std::pair<std::string, std::string>> headers;
-    std::string body;
+    std::string path{};
+    std::vector<std::pair<std::string, std::string>> headers{};
+    std::string body{};
 };
 
 /// A status is answered as a refusal: the request has not run.
--- a/src/hawthornstall/runs/dispatch_options.hpp
+++ b/src/hawthornstall/runs/dispatch_options.hpp
@@ -19,12 +19,12 @@
 /// Options of one entry host.
 struct dispatch_options {
     net::peer_links::identity self;
-    discovery::host_record host;
-    std::string caller_address;    ///< "ip:port".
-    std::string readiness_address; ///< "ip:port".
+    discovery::host_record host{};
+    std::string caller_address{};    ///< "ip:port".
+    std::string readiness_address{}; ///< "ip:port".
     net::http_server_limits limits;
-    std::vector<std::string> control_hosts; ///< Names of the first ones to ask.
-    std::string control_port_suffix;        ///< ":port" that names of control hosts end with.
+    std::vector<std::string> control_hosts{}; ///< Names of the first ones to ask.
+    std::string control_port_suffix{};        ///< ":port" that names of control hosts end with.
     run_bounds bounds;
     std::uint64_t host_bits = 0; ///< Tell the fencing tokens of this host from all others.
     core::duration_ms shutdown_grace{6'000}; ///< From the request to the end of the process.
@@ -33,10 +33,10 @@
 /// Something worth a log record.
 struct dispatch_event {
     core::log_level level = core::log_level::info;
-    std::string_view name; ///< For example "job_ended".
-    std::string id;        ///< Job, if any.
-    std::string peer;      ///< Host or target, if any.
-    std::string detail;
+    std::string_view name{}; ///< For example "job_ended".
+    std::string id{};        ///< Job, if any.
+    std::string peer{};      ///< Host or target, if any.
+    std::string detail{};
     core::duration_ms age{}; ///< Of the job; 0 when there is none.
 };
 
--- a/src/hawthornstall/runs/job.hpp
+++ b/src/hawthornstall/runs/job.hpp
@@ -15,19 +15,19 @@
 /// Tasks of one kind within a job.
 struct job_step {
     std::uint32_t count = 1;
-    core::room room;                  ///< What each task needs.
-    core::duration_ms estimated{};    ///< Declared run time; 0 when not declared.
-    std::vector<std::uint32_t> after; ///< Earlier steps that must be done first.
-    std::string required_label;       ///< Empty: any target.
-    std::string data_rack;            ///< Label of the rack with the data; empty: none.
-    std::uint32_t max_per_target = 0; ///< 0: no limit.
+    core::room room{};                  ///< What each task needs.
+    core::duration_ms estimated{};      ///< Declared run time; 0 when not declared.
+    std::vector<std::uint32_t> after{}; ///< Earlier steps that must be done first.
+    std::string required_label{};       ///< Empty: any target.
+    std::string data_rack{};            ///< Label of the rack with the data; empty: none.
+    std::uint32_t max_per_target = 0;   ///< 0: no limit.
 
     bool operator==(const job_step&) const = default;
 };
 
 /// What the queue of a job promises its callers.
 struct job_terms {
-    std::string service;
+    std::string service{};
     std::uint32_t priority = 0;         ///< 0 is the most urgent.
     std::uint32_t max_attempts = 1;     ///< Failed runs of one task after which the job fails.
     double stretch = 1.0;               ///< Factor of the objective on the run time.
@@ -39,10 +39,10 @@
 
 /// A whole job. It is not stored: the caller waits for its end and submits it again when lost.
 struct job_request {
-    std::string id; ///< Chosen by the caller.
-    std::string specification;
-    std::vector<job_step> steps;
-    job_terms terms;
+    std::string id{}; ///< Chosen by the caller.
+    std::string specification{};
+    std::vector<job_step> steps{};
+    job_terms terms{};
 
     bool operator==(const job_request&) const = default;
 };
--- a/src/hawthornstall/runs/job_desk.hpp
+++ b/src/hawthornstall/runs/job_desk.hpp
@@ -16,16 +16,16 @@
 /// An answer for a caller.
 struct desk_answer {
     std::uint64_t request = 0; ///< Number of the caller's request.
-    std::string job;
+    std::string job{};
     job_result result = job_result::lost;
     core::duration_ms retry_after{};
-    std::string reason;
+    std::string reason{};
     core::duration_ms age{}; ///< Since the request arrived.
 };
 
 struct desk_effects {
-    std::vector<addressed_message> messages;
-    std::vector<desk_answer> answers;
+    std::vector<addressed_message> messages{};
+    std::vector<desk_answer> answers{};
 };
 
 /// Pure state machine. Each request that is opened gets exactly one answer.
@@ -54,8 +54,8 @@
 private:
     struct open_job {
         std::uint64_t request = 0;
-        std::string job;
-        std::string scheduler;
+        std::string job{};
+        std::string scheduler{};
         core::time_ms arrived{};
         core::time_ms give_up_at{};
     };
--- a/src/hawthornstall/runs/job_record.hpp
+++ b/src/hawthornstall/runs/job_record.hpp
@@ -13,7 +13,7 @@
 
 /// Front end that waits for a job.
 struct job_waiter {
-    std::string host;
+    std::string host{};
     std::uint64_t number = 0; ///< The front end's number of the job.
 
     bool operator==(const job_waiter&) const = default;
@@ -29,23 +29,23 @@
     std::uint32_t last_run = 0; ///< Number of the latest start.
     std::uint32_t failures = 0; ///< Runs that ended as failed.
     std::uint64_t key = 0;      ///< Of the current run.
-    std::string target;         ///< Of the current or latest run.
-    std::string holder;         ///< Of the current run.
+    std::string target{};       ///< Of the current or latest run.
+    std::string holder{};       ///< Of the current run.
     core::time_ms not_before{}; ///< An earlier run may still be under way until then.
 };
 
 /// State of one job.
 struct job_record {
-    job_request request;
-    std::vector<job_waiter> waiters;
-    std::vector<task_record> tasks;
+    job_request request{};
+    std::vector<job_waiter> waiters{};
+    std::vector<task_record> tasks{};
     core::time_ms arrived{};
     core::time_ms due{};          ///< Objective: an answer by then is in time.
     core::time_ms useful_until{}; ///< The caller waits until then.
     bool started = false;         ///< A task has been ordered to start.
     bool ending = false;          ///< Nothing is started any more; `result` follows the last run.
     job_result result = job_result::completed;
-    std::string reason;
+    std::string reason{};
 };
 
 /// Declared run time of the longest chain of steps.
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -76,7 +76,7 @@
 core::duration_ms job_scheduler::expected_wait(const job_record& job) const {
     std::int64_t work = 0;
     for (const auto& [id, other] : jobs_) {
-        if (!other.ending && other.due < job.due) {
+        if (&other != &job && !other.ending && other.due <= job.due) {
             work += detail::pending_work(other);
         }
     }
--- a/src/hawthornstall/runs/job_scheduler.hpp
+++ b/src/hawthornstall/runs/job_scheduler.hpp
@@ -17,15 +17,15 @@
 
 /// A decision, for the log.
 struct job_event {
-    std::string_view what; ///< For example "job_refused".
-    std::string job;
-    std::string detail;
+    std::string_view what{}; ///< For example "job_refused".
+    std::string job{};
+    std::string detail{};
     core::duration_ms age{}; ///< Since the job arrived.
 };
 
 struct scheduler_effects {
-    std::vector<addressed_message> messages;
-    std::vector<job_event> events;
+    std::vector<addressed_message> messages{};
+    std::vector<job_event> events{};
 };
 
 /// Pure state machine. Inputs change its state; place() starts what fits.
@@ -52,7 +52,7 @@
     using job_map = std::map<std::string, job_record, std::less<>>;
 
     struct run_order {
-        std::string job;
+        std::string job{};
         std::size_t task = 0;
     };
 
--- a/src/hawthornstall/runs/room_pool.hpp
+++ b/src/hawthornstall/runs/room_pool.hpp
@@ -17,17 +17,16 @@
 
 /// Where a task goes.
 struct placement {
-    std::string target;
-    std::string holder;
+    std::string target{};
+    std::string holder{};
 };
 
 /// What a task asks of a target besides room.
 struct placement_request {
-    std::string_view service;
+    std::string_view service{};
     const job_step* step = nullptr;
-    std::span<const std::string>
-        crowded;            ///< Targets that hold as many tasks of the step as may be.
-    std::string_view avoid; ///< Target on which the task failed before.
+    std::span<const std::string> crowded{};              ///< Targets that hold as many tasks of the step as may be.
+    std::string_view avoid{}; ///< Target on which the task failed before.
 };
 
 /// Pure. Reservations last from the order until the holder reports the end of the run.
@@ -58,9 +57,9 @@
 
 private:
     struct pooled_target {
-        held_target target;
-        std::string holder;
-        core::room reserved;
+        held_target target{};
+        std::string holder{};
+        core::room reserved{};
         scheduling::target_health health;
         core::time_ms ejected_until{};
         double slowness = 1.0; ///< Run time against the declared one, smoothed.
--- a/src/hawthornstall/runs/route_table.hpp
+++ b/src/hawthornstall/runs/route_table.hpp
@@ -13,10 +13,10 @@
 
 /// A queue that callers reach under a host name and a path prefix.
 struct job_route {
-    std::string name;
-    std::string host;
-    std::string path_prefix;
-    job_terms terms; ///< `deadline` is the longest that the route allows.
+    std::string name{};
+    std::string host{};
+    std::string path_prefix{};
+    job_terms terms{}; ///< `deadline` is the longest that the route allows.
 
     bool operator==(const job_route&) const = default;
 };
@@ -24,7 +24,7 @@
 /// All queues of one version of the configuration.
 struct route_table {
     std::uint64_t version = 0; ///< 0 is no configuration.
-    std::vector<job_route> routes;
+    std::vector<job_route> routes{};
 
     /// The route of `host` with the longest prefix that `path` begins with, or null.
     [[nodiscard]] const job_route* find(std::string_view host, std::string_view path) const;
--- a/src/hawthornstall/runs/run_messages.hpp
+++ b/src/hawthornstall/runs/run_messages.hpp
@@ -16,7 +16,7 @@
 /// Front end to scheduler: run this job. `number` is unique among the sender's jobs.
 struct submit_job {
     std::uint64_t number = 0;
-    job_request job;
+    job_request job{};
 };
 
 /// Front end to scheduler: the caller has left.
@@ -29,22 +29,22 @@
     std::uint64_t number = 0;
     job_result result = job_result::lost;
     core::duration_ms retry_after{}; ///< When a refused job may return; 0 when not known.
-    std::string reason;
+    std::string reason{};
 };
 
 /// Scheduler to the host that holds the target: start a run.
 struct start_run {
     std::uint64_t key = 0; ///< Unique among the sender's runs.
-    std::string target;
-    run_name run;
-    std::string specification;
-    core::room room;
+    std::string target{};
+    run_name run{};
+    std::string specification{};
+    core::room room{};
 };
 
 /// Scheduler to holder: stop a run, or do not start it.
 struct stop_run {
     std::uint64_t key = 0;
-    std::string target;
+    std::string target{};
 };
 
 /// Holder to scheduler: the run is over and its room is free.
@@ -57,26 +57,27 @@
 
 /// What a holder says of one of its targets.
 struct held_target {
-    std::string id;
+    std::string id{};
     std::uint64_t incarnation = 0;
-    std::string service;
-    std::string zone;
-    std::vector<std::string> labels;
-    core::room capacity;
-    core::room used_by_others; ///< By runs of other schedulers than the receiver.
+    std::string service{};
+    std::string zone{};
+    std::vector<std::string> labels{};
+    core::room capacity{};
+    core::room used_by_others{}; ///< By runs of other schedulers than the receiver.
     bool usable = false;
 };
 
 /// Holder to scheduler: all of the holder's targets.
 struct target_report {
-    std::vector<held_target> targets;
+    std::vector<held_target> targets{};
 };
 
 /// Entry host to all others, regularly and whenever it changes.
 struct host_presence {
-    discovery::host_record host;
-    bool leaving = false;                  ///< Takes no new jobs and no targets any more.
-    std::vector<std::string> held_targets; ///< Targets that no other host may take over meanwhile.
+    discovery::host_record host{};
+    bool leaving = false; ///< Takes no new jobs and no targets any more.
+    std::vector<std::string>
+        held_targets{}; ///< Targets that no other host may take over meanwhile.
 };
 
 /// The order of the alternatives is part of the wire format: new ones go to the end.
@@ -85,8 +86,8 @@
 
 /// A message for a host, which may be this one.
 struct addressed_message {
-    std::string host;
-    run_message message;
+    std::string host{};
+    run_message message{};
 };
 
 } // namespace hawthornstall::runs
--- a/src/hawthornstall/runs/run_types.hpp
+++ b/src/hawthornstall/runs/run_types.hpp
@@ -14,7 +14,7 @@
 
 /// Names a task of a job.
 struct task_name {
-    std::string job;
+    std::string job{};
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
@@ -23,7 +23,7 @@
 
 /// Names one start of a task; the number grows with each start.
 struct run_name {
-    task_name task;
+    task_name task{};
     std::uint32_t number = 0;
 
     auto operator<=>(const run_name&) const = default;
@@ -31,7 +31,7 @@
 
 /// Names a run among the orders of all schedulers.
 struct run_key {
-    std::string scheduler; ///< Host that ordered it.
+    std::string scheduler{}; ///< Host that ordered it.
     std::uint64_t number = 0;
 
     auto operator<=>(const run_key&) const = default;
--- a/src/hawthornstall/runs/target_session.cpp
+++ b/src/hawthornstall/runs/target_session.cpp
@@ -267,7 +267,9 @@
         retry_at_ = now + detail::acknowledge_after;
     }
     ends_acknowledged_ = ends_seen_;
-    const auto lease = runs_.empty() ? std::nullopt : new_lease(now);
+    // A target that does not answer must not get new leases, or its runs would never be certain to
+    // have ended.
+    const auto lease = runs_.empty() || !reachable_ ? std::nullopt : new_lease(now);
     call(list_call{ends_seen_, lease, wait}, wait + detail::call_timeout, now);
 }
 
--- a/src/hawthornstall/runs/target_session.hpp
+++ b/src/hawthornstall/runs/target_session.hpp
@@ -18,14 +18,14 @@
 
 /// An end to report to a scheduler.
 struct session_report {
-    std::string scheduler;
-    run_ended ended;
+    std::string scheduler{};
+    run_ended ended{};
 };
 
 /// What a session wants carried out.
 struct session_effects {
-    std::vector<target_call> calls;
-    std::vector<session_report> reports;
+    std::vector<target_call> calls{};
+    std::vector<session_report> reports{};
 };
 
 /// Pure state machine. The room of a run counts until its end is listed by the target, or until it
@@ -73,16 +73,16 @@
     };
 
     struct run_entry {
-        std::optional<run_key> key; ///< Empty for a run of an earlier holder.
-        run_name run;
-        core::room room;
+        std::optional<run_key> key{}; ///< Empty for a run of an earlier holder.
+        run_name run{};
+        core::room room{};
         phase state = phase::starting;
         core::time_ms started{};
         core::time_ms changed{}; ///< When `state` was entered.
     };
 
     struct open_call {
-        target_request request;
+        target_request request{};
         core::time_ms sent{};
     };
 
--- a/tests/hawthornstall/control/control_service_test.cpp
+++ b/tests/hawthornstall/control/control_service_test.cpp
@@ -67,6 +67,9 @@
     }
     void take(const edit_reply& reply) { edits.push_back(reply); }
     void take(const audit_reply& reply) { audits.push_back(reply); }
+    void take(const numbered_state& state) { states.push_back(state); }
+    void take(const discovery::host_list& list) { lists.push_back(list); }
+    void take(const discovery::target_news& news) { this->news.push_back(news); }
 
     [[nodiscard]] std::size_t leader() const {
         const auto found = std::ranges::find_if(
@@ -89,6 +92,9 @@
     digest_outcome last_check = digest_outcome::differs;
     std::vector<edit_reply> edits;
     std::vector<audit_reply> audits;
+    std::vector<numbered_state> states;
+    std::vector<discovery::host_list> lists;
+    std::vector<discovery::target_news> news;
 };
 
 struct route_case {
@@ -132,6 +138,78 @@
     }
 }
 
+struct numbered_case {
+    std::string_view name;
+    std::vector<std::uint64_t> versions; ///< In the order in which they are sent.
+    std::uint64_t in_force = 0;
+};
+
+// Guards against an older configuration that replaces a newer one, against other content under the
+// version in force, and against a valid one that is refused.
+TEST_CASE("the highest version of a numbered configuration is in force everywhere") {
+    const std::array cases{
+        numbered_case{"one", {7}, 7},
+        numbered_case{"rising", {7, 9, 12}, 12},
+        numbered_case{"an older one again", {7, 9, 7}, 9},
+        numbered_case{"the same version with other content", {7, 7}, 7},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        service_cluster cluster;
+        cluster.services[0].receive_from_entry("entry-1", config_subscribe{}, cluster.now);
+        std::uint64_t number = 0;
+        for (const auto version : test.versions) {
+            ++number;
+            numbered_config config{.version = version,
+                                   .content =
+                                       std::to_string(version) + "#" + std::to_string(number),
+                                   .actor = "operator",
+                                   .host = "control"};
+            cluster.services[number % 3].receive_from_entry(
+                "entry-1", numbered_request{number, std::move(config)}, cluster.now);
+            cluster.run_for(core::duration_ms{200});
+        }
+        REQUIRE(cluster.edits.size() == test.versions.size());
+        for (const auto& reply : cluster.edits) {
+            REQUIRE(reply.answer.has_value());
+            CHECK(reply.answer->result == edit_result::accepted);
+        }
+        CHECK(cluster.copy.numbered().version == test.in_force);
+        for (std::size_t host = 0; host < cluster.services.size(); ++host) {
+            cluster.services[host].receive_from_entry("entry-1", numbered_read{host}, cluster.now);
+        }
+        cluster.run_for(core::duration_ms{200});
+        REQUIRE(cluster.states.size() == 3);
+        for (const auto& state : cluster.states) {
+            REQUIRE(state.config.has_value());
+            CHECK(*state.config == cluster.copy.numbered());
+            const auto first = std::ranges::find(test.versions, test.in_force);
+            const auto place = first - test.versions.begin() + 1;
+            CHECK(state.config->content ==
+                  std::to_string(test.in_force) + "#" + std::to_string(place));
+        }
+    }
+}
+
+// Guards against a read from a control host that does not know of newer changes.
+TEST_CASE("a cut-off control host confirms no read") {
+    for (const bool is_leader : {true, false}) {
+        CAPTURE(is_leader);
+        service_cluster cluster;
+        const auto index = is_leader ? cluster.leader() : (cluster.leader() + 1) % 3;
+        cluster.cut_off[index] = true;
+        cluster.services[index].receive_from_entry("entry-1", numbered_read{1}, cluster.now);
+        cluster.run_for(core::duration_ms{5'000});
+        cluster.services[index].receive_from_entry("entry-1", numbered_read{2}, cluster.now);
+        cluster.run_for(core::duration_ms{100});
+        for (const auto& state : cluster.states) {
+            CHECK_FALSE(state.config.has_value());
+        }
+        CHECK(std::ranges::any_of(cluster.states,
+                                  [](const numbered_state& state) { return state.number == 2; }));
+    }
+}
+
 // Guards against a cut-off control host that keeps its subscribers and answers them.
 TEST_CASE("a cut-off control host accepts nothing and sends no digests") {
     for (const bool is_leader : {true, false}) {
--- a/tests/hawthornstall/control/document_store_test.cpp
+++ b/tests/hawthornstall/control/document_store_test.cpp
@@ -127,5 +127,20 @@
     CHECK(small.apply(make_edit("a2", 1, "a")).result == edit_result::accepted);
 }
 
+// Guards against a numbered configuration, or its trace in the audit trail, that a snapshot loses.
+TEST_CASE("a numbered configuration survives a snapshot") {
+    document_store store;
+    const numbered_config config{
+        .version = 7, .content = "seven", .actor = "operator", .host = "control-0"};
+    CHECK(store.apply(config).version == 7);
+    document_store copy;
+    copy.restore(store.snapshot());
+    CHECK(copy.numbered() == config);
+    REQUIRE(copy.audit_after(0, 10).size() == 1);
+    CHECK(copy.audit_after(0, 10)[0].to_version == 7);
+    REQUIRE(copy.delta_after(0).numbered.has_value());
+    CHECK_FALSE(copy.delta_after(copy.revision()).numbered.has_value());
+}
+
 } // namespace
 } // namespace hawthornstall::control
--- a/tests/hawthornstall/control/random_schedule_test.cpp
+++ b/tests/hawthornstall/control/random_schedule_test.cpp
@@ -81,10 +81,12 @@
 /// A store that accepts an edit whatever its base version is.
 class store_without_versions : public document_store {
 public:
-    edit_answer apply(edit_command edit) {
+    using document_store::apply;
+    edit_answer apply(const edit_command& edit) {
+        auto rebased = edit;
         const auto* const current = find(edit.service);
-        edit.base_version = current == nullptr ? 0 : current->version;
-        return document_store::apply(edit);
+        rebased.base_version = current == nullptr ? 0 : current->version;
+        return document_store::apply(rebased);
     }
 };
 
--- /dev/null
+++ b/tests/hawthornstall/discovery/announcement_relay_test.cpp
@@ -0,0 +1,75 @@
+#include "hawthornstall/discovery/announcement_relay.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+namespace hawthornstall::discovery {
+namespace {
+
+constexpr core::time_ms start_time = core::from_count(1'000'000);
+
+target_record make_record(const std::string& id, std::uint64_t sequence) {
+    return {.id = id,
+            .incarnation = 1,
+            .sequence = sequence,
+            .service = "restock",
+            .address = id + ":80",
+            .zone = "bilbao",
+            .labels = {},
+            .capacity = {}};
+}
+
+std::vector<target_news> news_for(const std::vector<relay_message>& messages,
+                                  const std::string& host) {
+    std::vector<target_news> found;
+    for (const auto& message : messages) {
+        const auto* const news = std::get_if<target_news>(&message.content);
+        if (message.host == host && news != nullptr) {
+            found.push_back(*news);
+        }
+    }
+    return found;
+}
+
+// Guards against entry hosts that miss targets which announced themselves before they listened.
+TEST_CASE("a new listener gets all targets, the others only news") {
+    announcement_relay relay;
+    const std::vector<std::string> control{"c"};
+    relay.hello({.name = "e-1", .zone = "bilbao"});
+    relay.announce(make_record("w-1", 1), start_time);
+    auto messages = relay.tick(start_time, control);
+    REQUIRE(news_for(messages, "e-1").size() == 1);
+    CHECK(news_for(messages, "e-1")[0].targets.size() == 1);
+
+    relay.hello({.name = "e-2", .zone = "bilbao"});
+    relay.announce(make_record("w-2", 1), start_time);
+    messages = relay.tick(start_time + news_interval, control);
+    REQUIRE(news_for(messages, "e-1").size() == 1);
+    CHECK(news_for(messages, "e-1")[0].targets.size() == 1);
+    REQUIRE(news_for(messages, "e-2").size() == 1);
+    CHECK(news_for(messages, "e-2")[0].targets.size() == 2);
+}
+
+// Guards against hosts that stay on the list after they cannot be reached, and against a departure
+// that is not passed on.
+TEST_CASE("departures and lost hosts are passed on") {
+    announcement_relay relay;
+    relay.hello({.name = "e-1", .zone = "bilbao"});
+    relay.hello({.name = "e-2", .zone = "bilbao"});
+    relay.announce(make_record("w-1", 1), start_time);
+    (void)relay.tick(start_time, {});
+    relay.leave("w-1", start_time);
+    relay.unreachable("e-2");
+    const auto messages = relay.tick(start_time + news_interval, {});
+    REQUIRE(news_for(messages, "e-1").size() == 1);
+    CHECK(news_for(messages, "e-1")[0].left.size() == 1);
+    CHECK(news_for(messages, "e-2").empty());
+    const auto* const list = std::get_if<host_list>(&messages.front().content);
+    REQUIRE(list != nullptr);
+    CHECK(list->entry_hosts.size() == 1);
+}
+
+} // namespace
+} // namespace hawthornstall::discovery
--- /dev/null
+++ b/tests/hawthornstall/runs/job_desk_test.cpp
@@ -0,0 +1,69 @@
+#include "hawthornstall/runs/job_desk.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace hawthornstall::runs {
+namespace {
+
+using core::duration_ms;
+
+constexpr core::time_ms start_time = core::from_count(1'000'000);
+
+struct desk_case {
+    std::string_view name;
+    std::optional<std::string> scheduler;
+    std::function<void(job_desk&)> act;
+    job_result expected = job_result::lost;
+    std::size_t messages = 1; ///< To the scheduler, the submission included.
+};
+
+// Guards against a caller that gets no answer, or two.
+TEST_CASE("each request gets exactly one answer") {
+    const auto nothing = [](job_desk&) {
+    };
+    const auto end = [](job_desk& desk) {
+        desk.ended("s", {.number = 1, .result = job_result::completed}, start_time);
+        desk.ended("s", {.number = 1, .result = job_result::failed}, start_time);
+    };
+    const auto wrong_host = [](job_desk& desk) {
+        desk.ended("other", {.number = 1, .result = job_result::completed}, start_time);
+        desk.host_unreachable("other", start_time);
+        desk.host_unreachable("s", start_time);
+    };
+    const auto leave = [](job_desk& desk) {
+        desk.caller_left(70, start_time);
+    };
+    const auto wait = [](job_desk& desk) {
+        desk.tick(start_time + duration_ms{60'000});
+    };
+    const std::array cases{
+        desk_case{"no scheduler", std::nullopt, nothing, job_result::refused, 0},
+        desk_case{"ended once, told twice", "s", end, job_result::completed, 1},
+        desk_case{"only its own scheduler counts", "s", wrong_host, job_result::lost, 1},
+        desk_case{"the caller leaves", "s", leave, job_result::lost, 2},
+        desk_case{"no answer ever comes", "s", wait, job_result::lost, 2},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        job_desk desk;
+        job_request job;
+        job.id = "a";
+        job.terms.deadline = duration_ms{1'500};
+        desk.open(70, job, item.scheduler, start_time);
+        item.act(desk);
+        const auto effects = desk.take_effects();
+        REQUIRE(effects.answers.size() == 1);
+        CHECK(effects.answers[0].request == 70);
+        CHECK(effects.answers[0].result == item.expected);
+        CHECK(effects.messages.size() == item.messages);
+        CHECK(desk.idle());
+    }
+}
+
+} // namespace
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/tests/hawthornstall/runs/job_scheduler_test.cpp
@@ -0,0 +1,245 @@
+#include "hawthornstall/runs/job_scheduler.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace hawthornstall::runs {
+namespace {
+
+using core::duration_ms;
+
+constexpr core::time_ms start_time = core::from_count(1'000'000);
+constexpr core::room one_task{.cpu_millis = 27'000, .memory_mb = 64};
+
+job_request make_job(const std::string& id, std::uint32_t tasks, duration_ms run_time) {
+    job_step step;
+    step.count = tasks;
+    step.room = one_task;
+    step.estimated = run_time;
+    return {.id = id,
+            .specification = "spec",
+            .steps = {step},
+            .terms = {.service = "restock",
+                      .max_attempts = 2,
+                      .stretch = 1.6,
+                      .latency_target = duration_ms{60},
+                      .deadline = duration_ms{1'500}}};
+}
+
+held_target make_target(const std::string& id) {
+    return {.id = id,
+            .incarnation = 1,
+            .service = "restock",
+            .zone = "bilbao",
+            .capacity = {.cpu_millis = 64'000, .memory_mb = 1'000},
+            .usable = true};
+}
+
+/// A scheduler whose messages are sorted by kind.
+class scheduler_bench {
+public:
+    explicit scheduler_bench(int targets) {
+        target_report report;
+        for (int index = 0; index < targets; ++index) {
+            report.targets.push_back(make_target("w-" + std::to_string(index)));
+        }
+        scheduler.report("holder", report, now);
+    }
+
+    void submit(job_request job, const std::string& home = "home") {
+        scheduler.submit(home, {.number = ++last_number, .job = std::move(job)}, now);
+        settle();
+    }
+
+    void end(std::uint64_t key, run_end end) {
+        scheduler.run_over({.key = key, .end = end, .ran_for = duration_ms{60}}, now);
+        settle();
+    }
+
+    void settle() {
+        scheduler.place(now);
+        auto effects = scheduler.take_effects();
+        for (auto& item : effects.messages) {
+            if (auto* const start = std::get_if<start_run>(&item.message)) {
+                starts.push_back(std::move(*start));
+            } else if (auto* const stop = std::get_if<stop_run>(&item.message)) {
+                stops.push_back(std::move(*stop));
+            } else if (auto* const answer = std::get_if<job_ended>(&item.message)) {
+                answers.push_back(std::move(*answer));
+            }
+        }
+    }
+
+    core::time_ms now = start_time;
+    job_scheduler scheduler;
+    std::uint64_t last_number = 0;
+    std::vector<start_run> starts;
+    std::vector<stop_run> stops;
+    std::vector<job_ended> answers;
+};
+
+struct result_case {
+    std::string_view name;
+    std::vector<run_end> ends; ///< Of the runs in the order of their starts.
+    job_result expected = job_result::completed;
+    std::size_t starts = 1;
+};
+
+// Guards against a partial answer, a retry beyond the limit, and a failure that is counted although
+// the task is not to blame.
+TEST_CASE("the ends of its runs decide how a job ends") {
+    const std::array cases{
+        result_case{"done", {run_end::done}, job_result::completed, 1},
+        result_case{"failed once", {run_end::failed, run_end::done}, job_result::completed, 2},
+        result_case{"failed twice", {run_end::failed, run_end::failed}, job_result::failed, 2},
+        result_case{"lease ended twice",
+                    {run_end::lapsed, run_end::lapsed, run_end::done},
+                    job_result::completed,
+                    3},
+        result_case{"rejected", {run_end::rejected, run_end::done}, job_result::completed, 2},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        scheduler_bench bench{4};
+        bench.submit(make_job("a", 1, duration_ms{60}));
+        for (std::size_t index = 0; index < item.ends.size(); ++index) {
+            REQUIRE(bench.starts.size() == index + 1);
+            CHECK(bench.starts[index].run.number == index + 1);
+            bench.end(bench.starts[index].key, item.ends[index]);
+        }
+        CHECK(bench.starts.size() == item.starts);
+        REQUIRE(bench.answers.size() == 1);
+        CHECK(bench.answers[0].result == item.expected);
+        CHECK(bench.scheduler.idle());
+    }
+}
+
+// Guards against overfilled targets: two tasks of 27 cores fit on 64, a third one waits.
+TEST_CASE("tasks wait for room and start when it becomes free") {
+    scheduler_bench bench{1};
+    bench.submit(make_job("a", 3, duration_ms{60}));
+    REQUIRE(bench.starts.size() == 2);
+    bench.end(bench.starts[0].key, run_end::done);
+    REQUIRE(bench.starts.size() == 3);
+}
+
+// Guards against a job that waits until its deadline although it is clear that it can't be served.
+TEST_CASE("a hopeless job is refused at once") {
+    struct refusal_case {
+        std::string_view name;
+        job_request job;
+    };
+    auto too_large = make_job("large", 1, duration_ms{60});
+    too_large.steps[0].room.cpu_millis = 65'000;
+    auto unknown = make_job("unknown", 1, duration_ms{60});
+    unknown.terms.service = "elsewhere";
+    const std::array cases{
+        refusal_case{"no target can hold it", too_large},
+        refusal_case{"no target of the service", unknown},
+        refusal_case{"longer than its deadline", make_job("long", 1, duration_ms{1'600})},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        scheduler_bench bench{2};
+        bench.submit(item.job);
+        CHECK(bench.starts.empty());
+        REQUIRE(bench.answers.size() == 1);
+        CHECK(bench.answers[0].result == job_result::refused);
+        CHECK(bench.answers[0].retry_after > duration_ms{0});
+    }
+}
+
+// Guards against a queue that grows beyond what can be served: pattern of a burst of one kind.
+TEST_CASE("a burst is refused on arrival once the queue is longer than the deadline") {
+    scheduler_bench bench{1};
+    for (int index = 0; index < 40; ++index) {
+        bench.submit(make_job("j" + std::to_string(index), 2, duration_ms{200}));
+    }
+    CHECK(bench.answers.size() >= 20);
+    CHECK(std::ranges::all_of(bench.answers, [](const job_ended& answer) {
+        return answer.result == job_result::refused;
+    }));
+}
+
+// Guards against work that goes on for callers that have left.
+TEST_CASE("a job without callers is stopped") {
+    scheduler_bench bench{2};
+    bench.submit(make_job("a", 2, duration_ms{60}));
+    REQUIRE(bench.starts.size() == 2);
+    SUBCASE("the caller leaves") {
+        bench.scheduler.cancel("home", {.number = 1}, bench.now);
+    }
+    SUBCASE("the caller's entry host is lost") {
+        bench.scheduler.host_unreachable("home", bench.now);
+    }
+    bench.settle();
+    CHECK(bench.stops.size() == 2);
+    CHECK_FALSE(bench.scheduler.idle());
+    bench.end(bench.starts[0].key, run_end::stopped);
+    bench.end(bench.starts[1].key, run_end::stopped);
+    CHECK(bench.scheduler.idle());
+    CHECK(bench.starts.size() == 2);
+}
+
+// Guards against two runs of one task when a job is submitted again while it is under way.
+TEST_CASE("a second submission joins the first") {
+    scheduler_bench bench{2};
+    bench.submit(make_job("a", 1, duration_ms{60}), "home-1");
+    bench.submit(make_job("a", 1, duration_ms{60}), "home-2");
+    REQUIRE(bench.starts.size() == 1);
+    bench.end(bench.starts[0].key, run_end::done);
+    CHECK(bench.answers.size() == 2);
+}
+
+// Guards against a restart beside runs on the targets of a host that cannot be reached.
+TEST_CASE("a job with runs on a lost holder is given up") {
+    scheduler_bench bench{2};
+    bench.submit(make_job("a", 1, duration_ms{60}));
+    bench.scheduler.host_unreachable("holder", bench.now);
+    bench.settle();
+    REQUIRE(bench.answers.size() == 1);
+    CHECK(bench.answers[0].result == job_result::lost);
+    CHECK(bench.starts.size() == 1);
+}
+
+// Guards against a task that starts before the steps that it needs.
+TEST_CASE("a step starts after the steps that it names") {
+    scheduler_bench bench{4};
+    auto job = make_job("a", 2, duration_ms{60});
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].after = {0};
+    bench.submit(job);
+    REQUIRE(bench.starts.size() == 2);
+    bench.end(bench.starts[0].key, run_end::done);
+    CHECK(bench.starts.size() == 2);
+    bench.end(bench.starts[1].key, run_end::done);
+    CHECK(bench.starts.size() == 4);
+}
+
+// Guards against a target that fails everything and takes a task per round trip.
+TEST_CASE("a target that keeps failing gets no tasks for a while") {
+    scheduler_bench bench{4};
+    std::string failing;
+    std::size_t failures = 0;
+    for (int index = 0; index < 40; ++index) {
+        bench.submit(make_job("j" + std::to_string(index), 1, duration_ms{60}));
+        const auto start = bench.starts.back();
+        failing = failing.empty() ? start.target : failing;
+        const bool fails = start.target == failing;
+        failures += fails ? 1 : 0;
+        bench.end(start.key, fails ? run_end::failed : run_end::done);
+        if (fails) {
+            bench.end(bench.starts.back().key, run_end::done);
+        }
+    }
+    CHECK(failures <= 4);
+}
+
+} // namespace
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/tests/hawthornstall/runs/target_holder_test.cpp
@@ -0,0 +1,122 @@
+#include "hawthornstall/runs/target_holder.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::runs {
+namespace {
+
+using core::duration_ms;
+
+constexpr core::time_ms start_time = core::from_count(1'000'000);
+constexpr core::time_ms wall_time = core::from_count(1'790'000'000'000);
+
+host_presence make_host(const std::string& name, const std::string& zone) {
+    return {.host = {.name = name, .zone = zone, .weight = 0.25}};
+}
+
+discovery::target_record make_record(int number, const std::string& zone) {
+    return {.id = "w-" + std::to_string(number),
+            .incarnation = 1,
+            .sequence = 1,
+            .service = "restock",
+            .address = "10.0.0." + std::to_string(number) + ":80",
+            .zone = zone,
+            .labels = {},
+            .capacity = {.cpu_millis = 64'000}};
+}
+
+// Guards against targets that no host or two hosts want to hold.
+TEST_CASE("every target has one preferred holder, of its own zone where there is one") {
+    const std::array hosts{make_host("a", "bilbao"), make_host("b", "bilbao"),
+                           make_host("c", "oviedo")};
+    for (int number = 0; number < 60; ++number) {
+        const std::string id = "w-" + std::to_string(number);
+        const std::string zone = number % 3 == 0   ? "oviedo"
+                                 : number % 3 == 1 ? "bilbao"
+                                                   : "nowhere";
+        std::set<std::string> chosen;
+        for (const auto& self : hosts) {
+            host_view view{self};
+            for (const auto& other : hosts) {
+                if (other.host.name != self.host.name) {
+                    view.present(other);
+                }
+            }
+            chosen.insert(view.preferred_holder(id, zone).value());
+        }
+        REQUIRE(chosen.size() == 1);
+        CHECK((zone != "oviedo" || *chosen.begin() == "c"));
+        CHECK((zone != "bilbao" || *chosen.begin() != "c"));
+    }
+}
+
+struct hold_case {
+    std::string_view name;
+    bool other_holds = false;
+    bool self_leaving = false;
+    bool settled = true;
+    std::size_t expected = 0;
+};
+
+// Guards against a takeover that stops the work of a holder that is alive.
+TEST_CASE("a target is taken over when it is due") {
+    const std::array cases{
+        hold_case{.name = "free target", .expected = 1},
+        hold_case{.name = "held by a host that is alive", .other_holds = true},
+        hold_case{.name = "this host is leaving", .self_leaving = true},
+        hold_case{.name = "this process has just started", .settled = false},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        auto self = make_host("a", "bilbao");
+        self.leaving = item.self_leaving;
+        host_view hosts{self};
+        auto other = make_host("b", "oviedo");
+        other.held_targets =
+            item.other_holds ? std::vector<std::string>{"w-1"} : std::vector<std::string>{};
+        hosts.present(other);
+        discovery::target_roster roster;
+        roster.announce(make_record(1, "bilbao"), start_time);
+        target_holder holder{{}, 1, start_time};
+        holder.tick(roster, hosts, start_time + duration_ms{item.settled ? 1'500 : 10}, wall_time);
+        CHECK(holder.held().size() == item.expected);
+    }
+}
+
+// Guards against tokens that repeat or fall, also when the clock steps back.
+TEST_CASE("fencing tokens rise and differ between hosts") {
+    fencing_tokens first{0x0a010010};
+    fencing_tokens second{0x0a010011};
+    std::uint64_t last = 0;
+    std::set<std::uint64_t> all;
+    for (const int step : {0, 0, 5'000, -9'000, 1'000}) {
+        const auto token = first.next(wall_time + duration_ms{step});
+        CHECK(token > last);
+        last = token;
+        all.insert(token);
+        all.insert(second.next(wall_time + duration_ms{step}));
+        CHECK(token < (std::uint64_t{1} << 53));
+    }
+    CHECK(all.size() == 10);
+}
+
+// Guards against an order that stays open because its target has moved to another holder.
+TEST_CASE("an order for a target that is not held is rejected") {
+    target_holder holder{{}, 1, start_time};
+    holder.start("s", {.key = 5, .target = "w-9"}, start_time);
+    const auto effects = holder.take_effects();
+    REQUIRE(effects.messages.size() == 1);
+    const auto* const ended = std::get_if<run_ended>(&effects.messages[0].message);
+    REQUIRE(ended != nullptr);
+    CHECK(ended->key == 5);
+    CHECK(ended->end == run_end::rejected);
+}
+
+} // namespace
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/tests/hawthornstall/runs/target_session_test.cpp
@@ -0,0 +1,294 @@
+#include "hawthornstall/runs/fake_worker.hpp"
+#include "hawthornstall/runs/target_session.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <deque>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::runs {
+namespace {
+
+using core::duration_ms;
+
+constexpr core::time_ms start_time = core::from_count(1'000'000);
+constexpr core::room two_tasks{.cpu_millis = 64'000, .memory_mb = 1'000};
+constexpr core::room one_task{.cpu_millis = 27'000, .memory_mb = 64};
+
+discovery::target_record make_record(std::uint64_t incarnation = 1) {
+    return {.id = "w-1",
+            .incarnation = incarnation,
+            .sequence = 1,
+            .service = "restock",
+            .address = "10.0.0.1:80",
+            .zone = "bilbao",
+            .labels = {},
+            .capacity = two_tasks};
+}
+
+start_run make_order(std::uint64_t key, std::uint32_t index) {
+    return {.key = key,
+            .target = "w-1",
+            .run = {.task = {"job", 0, index}, .number = 1},
+            .specification = "spec",
+            .room = one_task};
+}
+
+/// One session and one worker; calls travel without delay unless they are told to be lost.
+class session_bench {
+public:
+    explicit session_bench(duration_ms run_time = duration_ms{200})
+        : worker(two_tasks, run_time, 77'000),
+          session(make_record(), 10, run_bounds{}, start_time) {
+        deliver();
+    }
+
+    /// Carries out all calls; a listing that waits is answered at once.
+    void deliver() {
+        for (auto effects = session.take_effects();
+             !effects.calls.empty() || !effects.reports.empty(); effects = session.take_effects()) {
+            for (const auto& report : effects.reports) {
+                reports.push_back(report.ended);
+            }
+            for (const auto& call : effects.calls) {
+                take(call);
+            }
+        }
+    }
+
+    void take(const target_call& call) {
+        const auto* const listing = std::get_if<list_call>(&call.request);
+        if (listing != nullptr && listing->wait.count() > 0) {
+            waiting = call;
+        } else if (silent) {
+            session.answered(call.number, {.fault = call_fault::unanswered, .reason = "silent"},
+                             now);
+        } else {
+            session.answered(call.number, worker.carry_out(call, now), now);
+        }
+    }
+
+    void run_for(duration_ms time) {
+        constexpr duration_ms step{10};
+        for (const auto end = now + time; now < end; now += step) {
+            worker.advance(now);
+            if (waiting) {
+                const auto call = *waiting;
+                waiting.reset();
+                session.answered(call.number,
+                                 silent ? call_answer{.fault = call_fault::unanswered, .reason = {}}
+                                        : worker.carry_out(call, now),
+                                 now);
+            }
+            session.tick(now);
+            deliver();
+        }
+    }
+
+    core::time_ms now = start_time;
+    fake_worker worker;
+    target_session session;
+    std::optional<target_call> waiting;
+    std::vector<run_ended> reports;
+    bool silent = false;
+};
+
+// Guards against starts on a target before it is known what runs there.
+TEST_CASE("a target is usable once its runs are listed") {
+    target_session session{make_record(), 10, run_bounds{}, start_time};
+    CHECK_FALSE(session.usable());
+    session.start("s", make_order(1, 0), start_time);
+    const auto effects = session.take_effects();
+    REQUIRE(effects.reports.size() == 1);
+    CHECK(effects.reports[0].ended.end == run_end::rejected);
+}
+
+struct end_case {
+    std::string_view name;
+    bool stop = false;
+    bool silent_for_long = false;
+    bool restart = false;
+    run_end expected = run_end::done;
+};
+
+// Guards against an end that is lost, told twice, or told with the wrong result.
+TEST_CASE("each run is reported once with its end") {
+    const std::array cases{
+        end_case{.name = "runs to its end", .expected = run_end::done},
+        end_case{.name = "stopped on request", .stop = true, .expected = run_end::stopped},
+        end_case{.name = "target silent until its lease has ended",
+                 .silent_for_long = true,
+                 .expected = run_end::lapsed},
+        end_case{.name = "target restarted", .restart = true, .expected = run_end::lost},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        session_bench bench{item.silent_for_long ? duration_ms{60'000} : duration_ms{200}};
+        REQUIRE(bench.session.usable());
+        bench.session.start("s", make_order(7, 0), bench.now);
+        bench.deliver();
+        bench.run_for(duration_ms{50});
+        if (item.stop) {
+            bench.session.stop({"s", 7}, bench.now);
+        }
+        if (item.restart) {
+            bench.worker.restart();
+        }
+        bench.silent = item.silent_for_long;
+        bench.run_for(duration_ms{4'000});
+        REQUIRE(bench.reports.size() == 1);
+        CHECK(bench.reports[0].key == 7);
+        CHECK(bench.reports[0].end == item.expected);
+        CHECK(bench.session.idle());
+    }
+}
+
+// Guards against a target that is filled beyond its capacity by orders that cross.
+TEST_CASE("a run that does not fit is rejected") {
+    session_bench bench;
+    for (std::uint64_t key = 1; key <= 3; ++key) {
+        bench.session.start("s", make_order(key, static_cast<std::uint32_t>(key)), bench.now);
+    }
+    bench.deliver();
+    REQUIRE(bench.reports.size() == 1);
+    CHECK(bench.reports[0].key == 3);
+    CHECK(bench.reports[0].end == run_end::rejected);
+    CHECK_FALSE(bench.worker.over_capacity);
+}
+
+// Guards against a second holder that starts work beside the runs of the first.
+TEST_CASE("a new holder stops what runs before it starts anything") {
+    session_bench first{duration_ms{60'000}};
+    first.session.start("s", make_order(1, 0), first.now);
+    first.deliver();
+    target_session second{make_record(), 11, run_bounds{}, first.now};
+    const auto claim = second.take_effects();
+    REQUIRE(claim.calls.size() == 1);
+    second.answered(claim.calls[0].number, first.worker.carry_out(claim.calls[0], first.now),
+                    first.now);
+    CHECK_FALSE(second.usable());
+    for (auto effects = second.take_effects(); !effects.calls.empty();
+         effects = second.take_effects()) {
+        for (const auto& call : effects.calls) {
+            first.now += duration_ms{1};
+            second.answered(call.number, first.worker.carry_out(call, first.now), first.now);
+        }
+        second.tick(first.now);
+    }
+    CHECK(second.usable());
+    CHECK(first.worker.running().empty());
+    first.run_for(duration_ms{1'000});
+    CHECK(first.session.fenced());
+    REQUIRE(first.reports.size() == 1);
+    CHECK(first.reports[0].end == run_end::lost);
+    CHECK(first.reports[0].settled_in >= duration_ms{1'000});
+}
+
+/// Plays a session against a worker whose answers get lost and whose orders arrive late.
+class random_play {
+public:
+    explicit random_play(unsigned seed)
+        : random_(seed), worker_(two_tasks, duration_ms{300}, 5'000) {}
+
+    void run() {
+        target_session session{make_record(), 10, run_bounds{}, now_};
+        constexpr int steps = 2'000;
+        for (int step = 0; step < steps; ++step) {
+            now_ += duration_ms{5};
+            if (chance(10)) {
+                ++key_;
+                session.start("s", make_order(key_, static_cast<std::uint32_t>(key_)), now_);
+                ++ordered;
+            }
+            if (key_ > 0 && chance(2)) {
+                session.stop({"s", key_}, now_);
+            }
+            session.tick(now_);
+            for (auto effects = session.take_effects();
+                 !effects.calls.empty() || !effects.reports.empty();
+                 effects = session.take_effects()) {
+                reported += effects.reports.size();
+                for (const auto& call : effects.calls) {
+                    send(session, call);
+                }
+            }
+            carry_out_due(session);
+        }
+        worker_.advance(now_);
+        open = ordered - reported;
+        over_capacity = worker_.over_capacity;
+    }
+
+    std::size_t ordered = 0;
+    std::size_t reported = 0;
+    std::size_t open = 0;
+    bool over_capacity = false;
+
+private:
+    struct late_call {
+        core::time_ms due{};
+        target_call call;
+        bool answer_lost = false;
+    };
+
+    bool chance(int percent) {
+        return std::uniform_int_distribution<int>{1, 100}(random_) <= percent;
+    }
+
+    void send(target_session& session, const target_call& call) {
+        constexpr int loss_percent = 8;
+        if (chance(loss_percent)) {
+            const auto delay = std::uniform_int_distribution<int>{300, 12'000}(random_);
+            late_.push_back({now_ + duration_ms{delay}, call, true});
+            late_.push_back({now_ + call.timeout, call, false});
+            lost_.push_back(call.number);
+            return;
+        }
+        session.answered(call.number, worker_.carry_out(call, now_), now_);
+    }
+
+    /// A late order reaches the worker without an answer; the caller's time limit passes earlier.
+    void carry_out_due(target_session& session) {
+        for (std::size_t index = 0; index < late_.size();) {
+            if (now_ < late_[index].due) {
+                ++index;
+                continue;
+            }
+            const auto item = late_[index];
+            late_.erase(late_.begin() + static_cast<std::ptrdiff_t>(index));
+            if (item.answer_lost) {
+                (void)worker_.carry_out(item.call, now_);
+            } else {
+                session.answered(item.call.number,
+                                 {.fault = call_fault::unanswered, .reason = "lost"}, now_);
+            }
+        }
+    }
+
+    std::mt19937 random_;
+    core::time_ms now_ = start_time;
+    fake_worker worker_;
+    std::uint64_t key_ = 0;
+    std::vector<late_call> late_;
+    std::vector<std::uint64_t> lost_;
+};
+
+// Guards against room that is given out twice when orders are carried out long after their time
+// limit, and against runs whose end is never told.
+TEST_CASE("late and lost orders neither overfill a target nor leave runs open") {
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        random_play play{seed};
+        play.run();
+        CHECK_FALSE(play.over_capacity);
+        CHECK(play.ordered > 100);
+        CHECK(play.open <= 3);
+    }
+}
+
+} // namespace
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/tests/platform/job_codec_test.cpp
@@ -0,0 +1,137 @@
+#include "hawthornstall/net/http_client.hpp"
+#include "hawthornstall/runtime/event_loop.hpp"
+#include "platform/job_codec.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::platform {
+namespace {
+
+constexpr std::string_view good_body =
+    R"({"specification":"text","best_effort":true,"steps":[{"count":4,"cpu":27000,)"
+    R"("requested_memory_mb":64,"estimated_ms":900,"requirements":"a","anti_affinity":2},)"
+    R"({"count":1,"cpu":500,"after":[0],"data_rack":"r1"}]})";
+
+/// Sends one request to a server on loopback and decodes it there.
+absl::StatusOr<runs::caller_wish> decode(std::string_view body, std::string_view deadline,
+                                         std::string_view path = "/a/5c0e7a21d94b36f8") {
+    runtime::event_loop loop;
+    runs::job_route route{.name = "r", .host = "h", .path_prefix = "/a/", .terms = {}};
+    route.terms.deadline = core::duration_ms{1'500};
+    absl::StatusOr<runs::caller_wish> wish = absl::InternalError("no request arrived");
+    std::unique_ptr<net::http_server> server;
+    server = std::make_unique<net::http_server>(
+        loop, "127.0.0.1:0", net::http_server_limits{}, [&](const net::http_request& request) {
+            wish = decode_wish({&request, &route, request.path.substr(route.path_prefix.size())});
+            server->answer(request.number, {.body = "{}"});
+        });
+    REQUIRE(server->start().ok());
+    net::http_client client{loop, {}};
+    std::vector<net::http_header> headers;
+    if (!deadline.empty()) {
+        headers.push_back({"X-Deadline-Milliseconds", deadline});
+    }
+    const auto sent =
+        client.send({.address = server->address(), .path = path, .headers = headers, .body = body},
+                    [&](const net::exchange_result&) { loop.stop(); });
+    REQUIRE(sent.ok());
+    loop.run();
+    return wish;
+}
+
+// Guards against fields that are lost or read in a wrong unit.
+TEST_CASE("a job is read whole") {
+    const auto wish = decode(good_body, "2761");
+    REQUIRE(wish.ok());
+    const auto* const job = std::get_if<runs::job_request>(&*wish);
+    REQUIRE(job != nullptr);
+    CHECK(job->id == "5c0e7a21d94b36f8");
+    CHECK(job->specification == "text");
+    REQUIRE(job->steps.size() == 2);
+    CHECK(job->steps[0].count == 4);
+    CHECK(job->steps[0].room == core::room{.cpu_millis = 27'000, .memory_mb = 64});
+    CHECK(job->steps[0].estimated == core::duration_ms{900});
+    CHECK(job->steps[0].required_label == "a");
+    CHECK(job->steps[0].max_per_target == 2);
+    CHECK(job->steps[1].after == std::vector<std::uint32_t>{0});
+    CHECK(job->steps[1].data_rack == "r1");
+}
+
+struct deadline_case {
+    std::string_view header;
+    core::duration_ms expected;
+};
+
+// Guards against jobs that are refused because the route's time-out is shorter than the time for
+// which their callers wait.
+TEST_CASE("the caller's deadline counts, and the route's time-out only without one") {
+    constexpr std::array cases{
+        deadline_case{"2761", core::duration_ms{2'761}},
+        deadline_case{"300", core::duration_ms{300}},
+        deadline_case{"", core::duration_ms{1'500}},
+        deadline_case{"0", core::duration_ms{1'500}},
+        deadline_case{"soon", core::duration_ms{1'500}},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.header);
+        const auto wish = decode(good_body, item.header);
+        REQUIRE(wish.ok());
+        CHECK(std::get<runs::job_request>(*wish).terms.deadline == item.expected);
+    }
+}
+
+struct refused_case {
+    std::string_view name;
+    std::string_view body;
+    std::string_view path;
+    int status = 400;
+};
+
+// Guards against a job that is accepted in part, and against work that is accepted but not offered.
+TEST_CASE("what cannot be run is refused with the reason") {
+    constexpr std::string_view path = "/a/5c0e7a21d94b36f8";
+    constexpr std::array cases{
+        refused_case{"not JSON", "{", path},
+        refused_case{"no steps", R"({"best_effort":true})", path},
+        refused_case{"steps of another type", R"({"best_effort":true,"steps":3})", path},
+        refused_case{"count of another type", R"({"best_effort":true,"steps":[{"count":"4"}]})",
+                     path},
+        refused_case{"no job id", good_body, "/a/x"},
+        refused_case{"to be stored", R"({"steps":[{"count":1}]})", path, 503},
+        refused_case{"gang", R"({"best_effort":true,"steps":[{"count":1,"gang":true}]})", path,
+                     503},
+        refused_case{"long-running",
+                     R"({"best_effort":true,"steps":[{"count":1,"long_running":true}]})", path,
+                     503},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        const auto wish = decode(item.body, "", item.path);
+        REQUIRE_FALSE(wish.ok());
+        CHECK(answer_to(wish.status()).status == item.status);
+    }
+}
+
+struct answer_case {
+    runs::job_result result;
+    int status = 0;
+};
+
+// Guards against a refusal that says "not run" for a job of which tasks may have run.
+TEST_CASE("the answer tells how a job ended") {
+    constexpr std::array cases{
+        answer_case{runs::job_result::completed, 200}, answer_case{runs::job_result::failed, 200},
+        answer_case{runs::job_result::refused, 503}, answer_case{runs::job_result::lost, 502}};
+    for (const auto& item : cases) {
+        CHECK(answer_to(runs::desk_answer{.result = item.result}).status == item.status);
+    }
+}
+
+} // namespace
+} // namespace hawthornstall::platform
--- /dev/null
+++ b/tests/platform/target_codec_test.cpp
@@ -0,0 +1,105 @@
+#include "platform/target_codec.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hawthornstall::platform {
+namespace {
+
+runs::target_call make_call(runs::target_request request) {
+    return {.number = 1,
+            .target = "i-7",
+            .address = "10.0.0.1:80",
+            .fencing_token = 7,
+            .timeout = {},
+            .request = std::move(request)};
+}
+
+const runs::run_name sample_run{.task = {"5c0e7a21d94b36f8", 1, 17}, .number = 2};
+
+struct encode_case {
+    std::string_view name;
+    runs::target_request request;
+    std::string path;
+    std::string body;
+};
+
+// Guards against fields under a wrong name or in a wrong unit.
+TEST_CASE("calls are encoded as the platform names them") {
+    const std::array cases{
+        encode_case{"start", runs::start_call{sample_run, "text", 486'000}, "/api/run-start",
+                    R"({"deadline_ms":486000,"fencing_token":7,"run":2,)"
+                    R"("specification":"text","task":"5c0e7a21d94b36f8.0.1.17"})"},
+        encode_case{"stop", runs::stop_call{sample_run}, "/api/run-stop",
+                    R"({"fencing_token":7,"run":2,"task":"5c0e7a21d94b36f8.0.1.17"})"},
+        encode_case{"list", runs::list_call{57, 486'000, core::duration_ms{400}}, "/api/hold",
+                    R"({"deadline_ms":486000,"fencing_token":7,"last_seen":57,"wait_ms":400})"},
+        encode_case{"list without a lease", runs::list_call{0, std::nullopt, {}}, "/api/hold",
+                    R"({"fencing_token":7,"last_seen":0})"},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        const auto encoded = encode_call(make_call(item.request));
+        CHECK(encoded.path == item.path);
+        CHECK(encoded.body == item.body);
+        CHECK(encoded.headers.back().second == "i-7");
+    }
+}
+
+struct fault_case {
+    std::string_view name;
+    net::exchange_outcome outcome = net::exchange_outcome::answered;
+    int status = 200;
+    std::string_view body;
+    std::optional<runs::call_fault> expected;
+};
+
+// Guards against an order that counts as not carried out although it may be, or the other way
+// round.
+TEST_CASE("answers tell whether a call had an effect") {
+    using enum runs::call_fault;
+    const std::array cases{
+        fault_case{"success", net::exchange_outcome::answered, 200, R"({"clock_ms":5})", {}},
+        fault_case{"fenced", net::exchange_outcome::answered, 409, R"({"reason":"fence"})", fenced},
+        fault_case{"no room", net::exchange_outcome::answered, 409, R"({"reason":"room"})",
+                   rejected},
+        fault_case{"another life", net::exchange_outcome::answered, 421, "", another_life},
+        fault_case{"unhealthy", net::exchange_outcome::answered, 503, "", overloaded},
+        fault_case{"no answer", net::exchange_outcome::broken, 0, "", unanswered},
+        fault_case{"never sent", net::exchange_outcome::not_sent, 0, "", not_delivered},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        const auto answer =
+            decode_answer(make_call(runs::stop_call{sample_run}),
+                          {.outcome = item.outcome, .status = item.status, .body = item.body});
+        CHECK(answer.fault == item.expected);
+    }
+}
+
+// Guards against rows that are misread, and against one bad row that hides the others.
+TEST_CASE("a listing keeps the rows that can be read") {
+    constexpr std::string_view body =
+        R"({"clock_ms":9,"born":1700000000000,)"
+        R"("running":[["5c0e7a21d94b36f8.0.1.17",2,"",41],["bad",1,"",0],7],)"
+        R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"x.0.0.0",3,"lapsed",""],["?"]]})";
+    const auto answer =
+        decode_answer(make_call(runs::list_call{}),
+                      {.outcome = net::exchange_outcome::answered, .status = 200, .body = body});
+    CHECK_FALSE(answer.fault.has_value());
+    CHECK(answer.clock_ms == 9);
+    CHECK(answer.listing.incarnation == 1'700'000'000'000);
+    REQUIRE(answer.listing.running.size() == 1);
+    CHECK(answer.listing.running[0] == sample_run);
+    REQUIRE(answer.listing.ended.size() == 2);
+    CHECK(answer.listing.ended[0].number == 58);
+    CHECK(answer.listing.ended[0].end == runs::run_end::done);
+    CHECK(answer.listing.ended[1].end == runs::run_end::lapsed);
+}
+
+} // namespace
+} // namespace hawthornstall::platform
