Schedule on the largest host, send specifications past the scheduler and index its queue

Cause: on the grown site the scheduler was the host with the lowest address, which has 0.09 of a core; it received and sent every specification, walked all jobs and all targets for each message, and each host sent 700 pings and pongs a second. Ruled out: the holders (each 0.04 of a core on average). Runs that take far too long are stopped and start elsewhere, which also finds grants that were lost.

--- a/src/hawthornstall/net/peer_links.cpp
+++ b/src/hawthornstall/net/peer_links.cpp
@@ -112,7 +112,7 @@
     if (!std::exchange(origin.reachable, true)) {
         on_state_(envelope->sender, true);
     }
-    if (envelope->kind == envelope_kind::ping) {
+    if (envelope->kind == envelope_kind::ping && self_.answer_pings) {
         // A lost pong is made up for by the next ping.
         (void)send_envelope(origin, envelope_kind::pong, {});
     } else if (envelope->kind == envelope_kind::data) {
@@ -140,7 +140,9 @@
             replace(target, now);
             ++counters_.links_replaced;
         }
-        (void)send_envelope(target, envelope_kind::ping, {});
+        if (self_.answer_pings || now - target.last_sent >= self_.ping_every) {
+            (void)send_envelope(target, envelope_kind::ping, {});
+        }
     }
     close_silent_pipes(now);
 }
@@ -170,6 +172,7 @@
                                                   .body = std::string{body}});
     auto status = target.socket->send(bytes);
     if (status.ok()) {
+        target.last_sent = core::ms_clock::now();
         ++counters_.messages_sent;
         counters_.bytes_sent += bytes.size();
         counters_.control_bytes_sent += kind == envelope_kind::data ? 0 : bytes.size();
--- a/src/hawthornstall/net/peer_links.hpp
+++ b/src/hawthornstall/net/peer_links.hpp
@@ -56,6 +56,8 @@
         core::duration_ms silent_after = silence_limit;
         /// Links back to senders that no settings name; their name is their address.
         bool accept_unlisted = false;
+        /// Peers that ping each other need no pongs, and no ping where a message was sent lately.
+        bool answer_pings = true;
     };
 
     /// Receives the sender's name and incarnation and the message body.
@@ -93,6 +95,7 @@
         std::unique_ptr<detail::nng_socket_handle> socket;
         core::time_ms last_heard{};
         core::time_ms last_replaced{};
+        core::time_ms last_sent{};
         std::uint64_t incarnation = 0; ///< Of the process last heard; 0 before the first message.
         bool reachable = false;
     };
--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -18,7 +18,7 @@
 constexpr core::duration_ms tick_interval{50};
 
 /// Entry hosts say to each other that they are alive, and what they hold, at least this often.
-constexpr core::duration_ms presence_interval{500};
+constexpr core::duration_ms presence_interval{1'000};
 
 /// Entry hosts say to control hosts that they listen at least this often.
 constexpr core::duration_ms hello_interval{1'000};
@@ -315,8 +315,13 @@
 }
 
 template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply_run(const std::string& from, const start_run& message) {
-    holder_.start(from, message, now());
+void dispatch_host<Codec>::apply_run(const std::string& /*from*/, const start_run& message) {
+    holder_.start(message, now());
+}
+
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::apply_run(const std::string& from, const grant_run& message) {
+    desk_.granted(from, message);
 }
 
 template <dispatch_codec Codec>
--- a/src/hawthornstall/runs/dispatch_host.hpp
+++ b/src/hawthornstall/runs/dispatch_host.hpp
@@ -77,6 +77,7 @@
     void apply_run(const std::string& from, submit_job&& message);
     void apply_run(const std::string& from, const cancel_job& message);
     void apply_run(const std::string& from, const job_ended& message);
+    void apply_run(const std::string& from, const grant_run& message);
     void apply_run(const std::string& from, const start_run& message);
     void apply_run(const std::string& from, const stop_run& message);
     void apply_run(const std::string& from, const run_ended& message);
--- a/src/hawthornstall/runs/host_view.cpp
+++ b/src/hawthornstall/runs/host_view.cpp
@@ -3,6 +3,7 @@
 #include "hawthornstall/core/weighted_rendezvous.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 namespace hawthornstall::runs {
@@ -24,16 +25,20 @@
 }
 
 std::optional<std::string> host_view::scheduler() const {
-    std::optional<std::string> first;
-    if (!self_.leaving) {
-        first = self_.host.name;
-    }
-    for (const auto& [name, host] : others_) {
-        if (!host.leaving && (!first || name < *first)) {
-            first = name;
+    const discovery::host_record* best = nullptr;
+    const auto consider = [&best](const host_presence& candidate) {
+        const auto& host = candidate.host;
+        if (!candidate.leaving &&
+            (best == nullptr || std::tuple{-host.weight, std::string_view{host.name}} <
+                                    std::tuple{-best->weight, std::string_view{best->name}})) {
+            best = &host;
         }
+    };
+    consider(self_);
+    for (const auto& [name, host] : others_) {
+        consider(host);
     }
-    return first;
+    return best == nullptr ? std::nullopt : std::optional{best->name};
 }
 
 std::optional<std::string> host_view::preferred_holder(std::string_view target,
--- a/src/hawthornstall/runs/host_view.hpp
+++ b/src/hawthornstall/runs/host_view.hpp
@@ -28,8 +28,8 @@
         return others_;
     }
 
-    /// Host that schedules jobs; every host with the same view picks the same one. Empty when all
-    /// are leaving.
+    /// Host that schedules jobs, the one with the largest share of a core; every host with the same
+    /// view picks the same one. Empty when all are leaving.
     [[nodiscard]] std::optional<std::string> scheduler() const;
 
     /// Host that should hold `target`: one of its availability zone, if there is any.
--- a/src/hawthornstall/runs/job_desk.cpp
+++ b/src/hawthornstall/runs/job_desk.cpp
@@ -16,18 +16,20 @@
 void job_desk::open(std::uint64_t request, job_request job,
                     const std::optional<std::string>& scheduler, core::time_ms now) {
     const auto number = ++last_number_;
+    const auto give_up_at = now + job.terms.deadline + detail::late_answer_limit;
+    auto submitted = job;
+    submitted.specification.clear();
     const auto position =
         open_
-            .emplace(number,
-                     open_job{.request = request,
-                              .job = job.id,
-                              .scheduler = scheduler.value_or(std::string{}),
-                              .arrived = now,
-                              .give_up_at = now + job.terms.deadline + detail::late_answer_limit})
+            .emplace(number, open_job{.request = request,
+                                      .job = std::move(job),
+                                      .scheduler = scheduler.value_or(std::string{}),
+                                      .arrived = now,
+                                      .give_up_at = give_up_at})
             .first;
     if (scheduler) {
         effects_.messages.push_back(
-            {*scheduler, submit_job{.number = number, .job = std::move(job)}});
+            {*scheduler, submit_job{.number = number, .job = std::move(submitted)}});
     } else {
         finish(position,
                {.number = number,
@@ -38,6 +40,23 @@
     }
 }
 
+void job_desk::granted(std::string_view scheduler, const grant_run& grant) {
+    const auto position = open_.find(grant.number);
+    if (position == open_.end() || position->second.scheduler != scheduler ||
+        grant.step >= position->second.job.steps.size()) {
+        return;
+    }
+    const auto& job = position->second.job;
+    effects_.messages.push_back(
+        {grant.holder,
+         start_run{.scheduler = std::string{scheduler},
+                   .key = grant.key,
+                   .target = grant.target,
+                   .run = {.task = {job.id, grant.step, grant.index}, .number = grant.run},
+                   .specification = job.specification,
+                   .room = job.steps[grant.step].room}});
+}
+
 void job_desk::ended(std::string_view scheduler, const job_ended& message, core::time_ms now) {
     const auto position = open_.find(message.number);
     if (position != open_.end() && position->second.scheduler == scheduler) {
@@ -92,7 +111,7 @@
                                               core::time_ms now) {
     const auto& job = position->second;
     effects_.answers.push_back({.request = job.request,
-                                .job = job.job,
+                                .job = job.job.id,
                                 .result = end.result,
                                 .retry_after = end.retry_after,
                                 .reason = end.reason,
--- a/src/hawthornstall/runs/job_desk.hpp
+++ b/src/hawthornstall/runs/job_desk.hpp
@@ -35,6 +35,10 @@
     void open(std::uint64_t request, job_request job, const std::optional<std::string>& scheduler,
               core::time_ms now);
 
+    /// Orders a granted run from its holder. A grant for a job that has been answered is ignored:
+    /// the scheduler is being told that the caller has left.
+    void granted(std::string_view scheduler, const grant_run& grant);
+
     /// Takes the end of a job.
     void ended(std::string_view scheduler, const job_ended& message, core::time_ms now);
 
@@ -54,7 +58,7 @@
 private:
     struct open_job {
         std::uint64_t request = 0;
-        std::string job{};
+        job_request job{};
         std::string scheduler{};
         core::time_ms arrived{};
         core::time_ms give_up_at{};
--- a/src/hawthornstall/runs/job_record.cpp
+++ b/src/hawthornstall/runs/job_record.cpp
@@ -27,10 +27,15 @@
     });
 }
 
+std::int64_t work_of(const job_step& step) {
+    return step.room.cpu_millis * step.estimated.count();
+}
+
 job_record make_job_record(job_request request, core::time_ms now) {
     job_record job;
     const auto chain = longest_chain(request);
     const auto stretched = static_cast<double>(chain.count()) * request.terms.stretch;
+    job.chain = chain;
     job.arrived = now;
     job.due = now + core::duration_ms{static_cast<core::duration_ms::rep>(stretched)} +
               request.terms.latency_target;
@@ -40,6 +45,8 @@
             auto& task = job.tasks.emplace_back();
             task.step = step;
             task.index = index;
+            ++job.pending_tasks;
+            job.pending_work += work_of(request.steps[step]);
         }
     }
     job.request = std::move(request);
--- a/src/hawthornstall/runs/job_record.hpp
+++ b/src/hawthornstall/runs/job_record.hpp
@@ -5,6 +5,7 @@
 #include "hawthornstall/core/ms_clock.hpp"
 #include "hawthornstall/runs/job.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -16,7 +17,7 @@
     std::string host{};
     std::uint64_t number = 0; ///< The front end's number of the job.
 
-    bool operator==(const job_waiter&) const = default;
+    auto operator<=>(const job_waiter&) const = default;
 };
 
 /// State of one task.
@@ -27,10 +28,12 @@
     std::uint32_t index = 0;
     phase state = phase::pending;
     std::uint32_t last_run = 0; ///< Number of the latest start.
+    std::uint32_t overdue = 0;  ///< Runs that were stopped because they took too long.
     std::uint32_t failures = 0; ///< Runs that ended as failed.
     std::uint64_t key = 0;      ///< Of the current run.
     std::string target{};       ///< Of the current or latest run.
     std::string holder{};       ///< Of the current run.
+    core::time_ms overdue_at{}; ///< The current run takes too long from then on.
     core::time_ms not_before{}; ///< An earlier run may still be under way until then.
 };
 
@@ -40,10 +43,16 @@
     std::vector<job_waiter> waiters{};
     std::vector<task_record> tasks{};
     core::time_ms arrived{};
-    core::time_ms due{};          ///< Objective: an answer by then is in time.
-    core::time_ms useful_until{}; ///< The caller waits until then.
-    bool started = false;         ///< A task has been ordered to start.
-    bool ending = false;          ///< Nothing is started any more; `result` follows the last run.
+    core::time_ms due{};           ///< Objective: an answer by then is in time.
+    core::time_ms useful_until{};  ///< The caller waits until then.
+    core::duration_ms chain{};     ///< Declared run time of the longest chain of steps.
+    std::uint64_t number = 0;      ///< Order of arrival.
+    std::int64_t pending_work = 0; ///< Of the pending tasks: thousandths of a core times ms.
+    std::uint32_t pending_tasks = 0;
+    std::uint8_t level = 0;  ///< Place among the waiting jobs; see job_order.
+    bool is_ordered = false; ///< The job has a place among the waiting jobs.
+    bool started = false;    ///< A task has been ordered to start.
+    bool ending = false;     ///< Nothing is started any more; `result` follows the last run.
     job_result result = job_result::completed;
     std::string reason{};
 };
@@ -54,6 +63,9 @@
 /// Whether all steps that `step` waits for are done.
 [[nodiscard]] bool is_ready(const job_record& job, std::uint32_t step);
 
+/// Work of one task of `step`: thousandths of a core times ms.
+[[nodiscard]] std::int64_t work_of(const job_step& step);
+
 /// A job that arrives at `now`, with its tasks.
 [[nodiscard]] job_record make_job_record(job_request request, core::time_ms now);
 
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -1,7 +1,6 @@
 #include "hawthornstall/runs/job_scheduler.hpp"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace hawthornstall::runs {
@@ -14,6 +13,16 @@
 /// Shortest time after which a refused job may return.
 constexpr core::duration_ms shortest_retry{1'000};
 
+/// A run that takes this many times as long as declared stands still on a bad target rather than
+/// being merely long: declared times are off by half, and targets differ by a factor of two.
+constexpr double overdue_factor = 4.0;
+
+/// Added to the time of an overdue run, so that short tasks are not stopped because of a pause.
+constexpr core::duration_ms overdue_slack{600};
+
+/// Interval at which overdue runs are looked for.
+constexpr core::duration_ms overdue_interval{100};
+
 using phase = task_record::phase;
 
 bool has_running(const job_record& job) {
@@ -21,21 +30,17 @@
         job.tasks, [](const task_record& task) { return task.state == phase::running; });
 }
 
-std::int64_t pending_work(const job_record& job) {
-    std::int64_t work = 0;
-    for (const auto& task : job.tasks) {
-        if (task.state == phase::pending) {
-            const auto& step = job.request.steps[task.step];
-            work += step.room.cpu_millis * step.estimated.count();
-        }
-    }
-    return work;
+core::duration_ms overdue_time(const task_record& task, const job_step& step) {
+    const auto times = overdue_factor * static_cast<double>(std::uint64_t{1} << task.overdue);
+    return overdue_slack + core::duration_ms{static_cast<core::duration_ms::rep>(
+                               times * static_cast<double>(step.estimated.count()))};
 }
 
 } // namespace detail
 
 void job_scheduler::submit(const std::string& host, const submit_job& message, core::time_ms now) {
     const job_waiter waiter{host, message.number};
+    waiters_[waiter] = message.job.id;
     const auto found = jobs_.find(message.job.id);
     if (found != jobs_.end()) {
         // Submitted again while the first submission is under way: both get its answer.
@@ -44,56 +49,65 @@
     }
     auto& job = jobs_[message.job.id];
     job = make_job_record(message.job, now);
+    job.number = ++last_number_;
     job.waiters.push_back(waiter);
-    const auto wait = expected_wait(job);
-    if (now + wait + longest_chain(job.request) > job.useful_until) {
-        start_ending(job, job_result::refused, "the queue is longer than the deadline", now);
-    }
-    if (job.ending || refuse_hopeless(job, now)) {
+    const auto reason = reason_to_refuse(job, now);
+    if (!reason.empty()) {
+        start_ending(job, job_result::refused, reason, now);
         finish_if_over(job, now);
+        return;
     }
+    order_.update(job, now);
 }
 
-bool job_scheduler::refuse_hopeless(job_record& job, core::time_ms now) {
-    if (job.started || job.ending) {
-        return false;
-    }
-    const auto& steps = job.request.steps;
-    const bool fits = std::ranges::all_of(steps, [&](const job_step& step) {
+std::string_view job_scheduler::reason_to_refuse(const job_record& job, core::time_ms now) const {
+    const bool fits = std::ranges::all_of(job.request.steps, [&](const job_step& step) {
         return pool_.could_hold(job.request.terms.service, step);
     });
     if (!fits) {
-        start_ending(job, job_result::refused, "no known target can hold a task of the job", now);
-        return true;
+        return "no known target can hold a task of the job";
     }
-    if (now + longest_chain(job.request) > job.useful_until) {
-        start_ending(job, job_result::refused, "the deadline would pass before the end", now);
-        return true;
+    if (is_hopeless(job, now)) {
+        return "the deadline would pass before the end";
     }
-    return false;
+    if (is_hopeless(job, now + expected_wait(job))) {
+        return "the queue is longer than the deadline";
+    }
+    return {};
+}
+
+bool job_scheduler::is_hopeless(const job_record& job, core::time_ms now) const {
+    return now + job.chain > job.useful_until;
 }
 
 core::duration_ms job_scheduler::expected_wait(const job_record& job) const {
-    std::int64_t work = 0;
-    for (const auto& [id, other] : jobs_) {
-        if (&other != &job && !other.ending && other.due <= job.due) {
-            work += detail::pending_work(other);
-        }
-    }
     const auto room = static_cast<double>(pool_.usable_cpu_millis(job.request.terms.service)) *
                       detail::fillable_share;
+    const auto work = static_cast<double>(order_.work_before(job));
     return room < 1.0 ? job.request.terms.deadline
-                      : core::duration_ms{
-                            static_cast<core::duration_ms::rep>(static_cast<double>(work) / room)};
+                      : core::duration_ms{static_cast<core::duration_ms::rep>(work / room)};
 }
 
 void job_scheduler::cancel(const std::string& host, const cancel_job& message, core::time_ms now) {
-    for (auto& [id, job] : jobs_) {
-        if (std::erase(job.waiters, job_waiter{host, message.number}) > 0 && job.waiters.empty()) {
-            start_ending(job, job_result::lost, "the caller has left", now);
-            finish_if_over(job, now);
-            return;
-        }
+    const job_waiter waiter{host, message.number};
+    const auto found = waiters_.find(waiter);
+    if (found != waiters_.end()) {
+        auto& job = jobs_.at(found->second);
+        drop_waiter(job, waiter, "the caller has left", now);
+        finish_if_over(job, now);
+    }
+}
+
+void job_scheduler::drop_waiter(job_record& job, const job_waiter& waiter, std::string_view reason,
+                                core::time_ms now) {
+    waiters_.erase(waiter);
+    std::erase(job.waiters, waiter);
+    if (job.waiters.empty()) {
+        start_ending(job, job_result::lost, reason, now);
+    } else {
+        // Grants that this waiter has not passed on would stay open; the runs start again through
+        // another waiter.
+        stop_runs(job);
     }
 }
 
@@ -109,13 +123,28 @@
     pool_.release(task.target, step.room);
     pool_.learn(task.target, message.end, message.ran_for, step.estimated, now);
     task.not_before = now + message.settled_in;
-    task.state = message.end == run_end::done ? detail::phase::done : detail::phase::pending;
+    set_state(job, task,
+              message.end == run_end::done ? detail::phase::done : detail::phase::pending);
     if (message.end == run_end::failed && ++task.failures >= job.request.terms.max_attempts) {
         start_ending(job, job_result::failed, "a task has used up its attempts", now);
     }
+    order_.update(job, now);
     finish_if_over(job, now);
 }
 
+void job_scheduler::set_state(job_record& job, task_record& task, task_record::phase state) {
+    const auto work = work_of(job.request.steps[task.step]);
+    if (task.state == detail::phase::pending) {
+        --job.pending_tasks;
+        job.pending_work -= work;
+    }
+    if (state == detail::phase::pending) {
+        ++job.pending_tasks;
+        job.pending_work += work;
+    }
+    task.state = state;
+}
+
 void job_scheduler::report(const std::string& holder, const target_report& report,
                            core::time_ms now) {
     pool_.report(holder, report, now);
@@ -123,14 +152,20 @@
 
 void job_scheduler::host_unreachable(std::string_view host, core::time_ms now) {
     pool_.drop_holder(host);
-    std::vector<std::string> over;
+    std::vector<std::string> ids;
     for (auto& [id, job] : jobs_) {
-        remove_waiters(job, host, now);
+        ids.push_back(id);
+        const auto waiters = job.waiters;
+        for (const auto& waiter : waiters) {
+            if (waiter.host == host) {
+                drop_waiter(job, waiter, "the caller's entry host cannot be reached", now);
+            }
+        }
         bool lost_run = false;
         for (auto& task : job.tasks) {
             if (task.state == detail::phase::running && task.holder == host) {
                 orders_.erase(task.key);
-                task.state = detail::phase::pending;
+                set_state(job, task, detail::phase::pending);
                 lost_run = true;
             }
         }
@@ -139,18 +174,18 @@
             start_ending(job, job_result::lost, "the host that held a target cannot be reached",
                          now);
         }
-        over.push_back(id);
     }
-    for (const auto& id : over) {
+    for (const auto& id : ids) {
         finish_if_over(jobs_.at(id), now);
     }
 }
 
-void job_scheduler::remove_waiters(job_record& job, std::string_view host, core::time_ms now) {
-    const auto removed =
-        std::erase_if(job.waiters, [&](const job_waiter& waiter) { return waiter.host == host; });
-    if (removed > 0 && job.waiters.empty()) {
-        start_ending(job, job_result::lost, "the caller's entry host cannot be reached", now);
+void job_scheduler::stop_runs(const job_record& job) {
+    for (const auto& task : job.tasks) {
+        if (task.state == detail::phase::running) {
+            effects_.messages.push_back(
+                {task.holder, stop_run{.key = task.key, .target = task.target}});
+        }
     }
 }
 
@@ -162,12 +197,8 @@
     job.ending = true;
     job.result = result;
     job.reason = reason;
-    for (const auto& task : job.tasks) {
-        if (task.state == detail::phase::running) {
-            effects_.messages.push_back(
-                {task.holder, stop_run{.key = task.key, .target = task.target}});
-        }
-    }
+    order_.erase(job);
+    stop_runs(job);
     effects_.events.push_back(
         {"job_ending", job.request.id, std::string{reason}, now - job.arrived});
 }
@@ -181,62 +212,73 @@
     if (all_done) {
         job.result = job_result::completed;
     }
-    answer(job, job.result == job_result::refused ? detail::shortest_retry : core::duration_ms{},
-           now);
+    answer(job, now);
+    order_.erase(job);
+    for (const auto& waiter : job.waiters) {
+        waiters_.erase(waiter);
+    }
     jobs_.erase(std::string{job.request.id});
 }
 
-void job_scheduler::answer(const job_record& job, core::duration_ms retry_after,
-                           core::time_ms now) {
+void job_scheduler::answer(const job_record& job, core::time_ms now) {
+    const bool is_refused = job.result == job_result::refused;
     for (const auto& waiter : job.waiters) {
-        effects_.messages.push_back({waiter.host, job_ended{.number = waiter.number,
-                                                            .result = job.result,
-                                                            .retry_after = retry_after,
-                                                            .reason = job.reason}});
+        effects_.messages.push_back(
+            {waiter.host,
+             job_ended{.number = waiter.number,
+                       .result = job.result,
+                       .retry_after = is_refused ? detail::shortest_retry : core::duration_ms{},
+                       .reason = job.reason}});
     }
     effects_.events.push_back(
         {"job_ended", job.request.id, std::string{to_string(job.result)}, now - job.arrived});
 }
 
-/// Jobs that have begun come first, then those that can still meet their objective, by objective.
-std::vector<job_record*> job_scheduler::ordered_jobs(core::time_ms now) {
-    using rank = std::tuple<bool, bool, core::time_ms>;
-    std::vector<std::pair<rank, job_record*>> ranked;
-    for (auto& [id, job] : jobs_) {
-        const bool has_pending = std::ranges::any_of(job.tasks, [](const task_record& task) {
-            return task.state == detail::phase::pending;
-        });
-        if (!job.ending && has_pending) {
-            const bool is_late = now + longest_chain(job.request) > job.due;
-            ranked.push_back({rank{!job.started, is_late, job.due}, &job});
-        }
+void job_scheduler::place(core::time_ms now) {
+    stop_overdue(now);
+    std::vector<job_record*> waiting;
+    for (const auto& place : order_.places()) {
+        waiting.push_back(place.job);
     }
-    std::ranges::stable_sort(ranked, {}, &std::pair<rank, job_record*>::first);
-    std::vector<job_record*> ordered;
-    for (const auto& [key, job] : ranked) {
-        ordered.push_back(job);
+    std::vector<unmet_need> unmet;
+    for (auto* const job : waiting) {
+        if (!job->started && is_hopeless(*job, now)) {
+            start_ending(*job, job_result::refused, "the deadline would pass before the end", now);
+            finish_if_over(*job, now);
+            continue;
+        }
+        place_tasks(*job, unmet, now);
+        const bool turns_late = !job->started && now + job->chain > job->due;
+        if (job->started || turns_late) {
+            order_.update(*job, now);
+        }
     }
-    return ordered;
 }
 
-void job_scheduler::place(core::time_ms now) {
-    std::vector<std::string> over;
-    for (auto* const job : ordered_jobs(now)) {
-        if (refuse_hopeless(*job, now)) {
-            over.push_back(job->request.id);
+void job_scheduler::place_tasks(job_record& job, std::vector<unmet_need>& unmet,
+                                core::time_ms now) {
+    for (std::size_t index = 0; index < job.tasks.size(); ++index) {
+        const auto& task = job.tasks[index];
+        if (task.state != detail::phase::pending || task.not_before > now ||
+            !is_ready(job, task.step)) {
             continue;
         }
-        for (std::size_t index = 0; index < job->tasks.size(); ++index) {
-            const auto& task = job->tasks[index];
-            if (task.state == detail::phase::pending && task.not_before <= now &&
-                is_ready(*job, task.step) && !place_task(*job, index, now)) {
-                break;
+        const auto& step = job.request.steps[task.step];
+        const bool is_unmet = std::ranges::any_of(unmet, [&](const unmet_need& need) {
+            return step.room.holds(need.room) && need.service == job.request.terms.service &&
+                   (need.label.empty() || need.label == step.required_label);
+        });
+        if (is_unmet) {
+            return;
+        }
+        if (!place_task(job, index, now)) {
+            // A limit per target concerns this job alone.
+            if (step.max_per_target == 0) {
+                unmet.push_back({job.request.terms.service, step.required_label, step.room});
             }
+            return;
         }
     }
-    for (const auto& id : over) {
-        finish_if_over(jobs_.at(id), now);
-    }
 }
 
 std::vector<std::string> job_scheduler::crowded_targets(const job_record& job,
@@ -269,23 +311,47 @@
         return false;
     }
     pool_.reserve(place->target, step.room);
-    task.state = detail::phase::running;
+    set_state(job, task, detail::phase::running);
     task.key = ++last_key_;
     task.target = std::move(place->target);
     task.holder = std::move(place->holder);
+    task.overdue_at = now + detail::overdue_time(task, step);
     ++task.last_run;
     job.started = true;
     orders_[task.key] = {.job = job.request.id, .task = index};
-    effects_.messages.push_back(
-        {task.holder, start_run{.key = task.key,
-                                .target = task.target,
-                                .run = {.task = {job.request.id, task.step, task.index},
-                                        .number = task.last_run},
-                                .specification = job.request.specification,
-                                .room = step.room}});
+    const auto& front = job.waiters.front();
+    effects_.messages.push_back({front.host, grant_run{.number = front.number,
+                                                       .key = task.key,
+                                                       .holder = task.holder,
+                                                       .target = task.target,
+                                                       .step = task.step,
+                                                       .index = task.index,
+                                                       .run = task.last_run}});
     return true;
 }
 
+/// A run that takes far too long is stopped and starts again elsewhere; the next one gets twice the
+/// time. A grant or order that was lost on its way shows in the same way.
+void job_scheduler::stop_overdue(core::time_ms now) {
+    if (now < overdue_check_) {
+        return;
+    }
+    overdue_check_ = now + detail::overdue_interval;
+    for (const auto& [key, order] : orders_) {
+        auto& job = jobs_.at(order.job);
+        auto& task = job.tasks.at(order.task);
+        if (task.overdue_at > now) {
+            continue;
+        }
+        ++task.overdue;
+        task.overdue_at = now + detail::overdue_time(task, job.request.steps[task.step]);
+        effects_.messages.push_back(
+            {task.holder, stop_run{.key = task.key, .target = task.target}});
+        effects_.events.push_back(
+            {"run_overdue", job.request.id, "on target " + task.target, now - job.arrived});
+    }
+}
+
 std::size_t job_scheduler::waiting() const {
     return static_cast<std::size_t>(
         std::ranges::count_if(jobs_, [](const auto& item) { return !item.second.started; }));
--- a/src/hawthornstall/runs/job_scheduler.hpp
+++ b/src/hawthornstall/runs/job_scheduler.hpp
@@ -2,6 +2,7 @@
 
 /// Decides which tasks of which jobs start where. Holders carry its orders out.
 
+#include "hawthornstall/runs/job_order.hpp"
 #include "hawthornstall/runs/job_record.hpp"
 #include "hawthornstall/runs/room_pool.hpp"
 #include "hawthornstall/runs/run_messages.hpp"
@@ -49,29 +50,43 @@
     [[nodiscard]] std::size_t waiting() const;
 
 private:
-    using job_map = std::map<std::string, job_record, std::less<>>;
-
     struct run_order {
         std::string job{};
         std::size_t task = 0;
     };
 
-    [[nodiscard]] bool refuse_hopeless(job_record& job, core::time_ms now);
+    /// A need for room for which no target was found in the current round.
+    struct unmet_need {
+        std::string_view service{};
+        std::string_view label{};
+        core::room room{};
+    };
+
+    [[nodiscard]] bool is_hopeless(const job_record& job, core::time_ms now) const;
     [[nodiscard]] core::duration_ms expected_wait(const job_record& job) const;
-    [[nodiscard]] std::vector<job_record*> ordered_jobs(core::time_ms now);
-    bool place_task(job_record& job, std::size_t index, core::time_ms now);
+    [[nodiscard]] std::string_view reason_to_refuse(const job_record& job, core::time_ms now) const;
+    void place_tasks(job_record& job, std::vector<unmet_need>& unmet, core::time_ms now);
+    [[nodiscard]] bool place_task(job_record& job, std::size_t index, core::time_ms now);
+    void stop_overdue(core::time_ms now);
+    void set_state(job_record& job, task_record& task, task_record::phase state);
     [[nodiscard]] std::vector<std::string> crowded_targets(const job_record& job,
                                                            const task_record& task) const;
+    void stop_runs(const job_record& job);
     void start_ending(job_record& job, job_result result, std::string_view reason,
                       core::time_ms now);
     void finish_if_over(job_record& job, core::time_ms now);
-    void answer(const job_record& job, core::duration_ms retry_after, core::time_ms now);
-    void remove_waiters(job_record& job, std::string_view host, core::time_ms now);
+    void answer(const job_record& job, core::time_ms now);
+    void drop_waiter(job_record& job, const job_waiter& waiter, std::string_view reason,
+                     core::time_ms now);
 
     room_pool pool_;
-    job_map jobs_;
+    std::map<std::string, job_record, std::less<>> jobs_; ///< By id.
+    std::map<job_waiter, std::string> waiters_;           ///< Job that each waits for.
+    job_order order_;
     std::map<std::uint64_t, run_order> orders_; ///< By run key.
     std::uint64_t last_key_ = 0;
+    std::uint64_t last_number_ = 0;
+    core::time_ms overdue_check_{};
     scheduler_effects effects_;
 };
 
--- a/src/hawthornstall/runs/room_pool.cpp
+++ b/src/hawthornstall/runs/room_pool.cpp
@@ -46,18 +46,30 @@
             item.target.usable = false;
         }
     }
+    sum_usable_cpu();
+}
+
+void room_pool::sum_usable_cpu() {
+    usable_cpu_.clear();
+    for (const auto& [id, item] : targets_) {
+        if (item.target.usable) {
+            usable_cpu_[item.target.service] += item.target.capacity.cpu_millis;
+        }
+    }
 }
 
 void room_pool::drop_holder(std::string_view holder) {
     std::erase_if(targets_, [&](const auto& item) { return item.second.holder == holder; });
+    sum_usable_cpu();
 }
 
 bool room_pool::may_run(const pooled_target& item, const placement_request& request) {
+    // Most targets are full under load, so the room is looked at first.
     const auto& target = item.target;
     const auto free = target.capacity - target.used_by_others - item.reserved;
-    return target.usable && target.service == request.service &&
+    return free.holds(request.step->room) && target.usable && item.running < item.health.limit() &&
+           target.service == request.service &&
            detail::has_label(target, request.step->required_label) &&
-           item.running < item.health.limit() && free.holds(request.step->room) &&
            std::ranges::find(request.crowded, target.id) == request.crowded.end();
 }
 
@@ -74,7 +86,7 @@
                           item.reserved.cpu_millis - request.step->room.cpu_millis;
         const rank candidate{id == request.avoid,
                              !detail::has_label(item.target, request.step->data_rack),
-                             detail::slowness_class(item.slowness), left};
+                             item.slowness_class, left};
         if (best == nullptr || candidate < best_rank) {
             best = &item;
             best_rank = candidate;
@@ -128,6 +140,7 @@
                                             static_cast<double>(estimated.count()),
                                         detail::largest_ratio);
             item.slowness += detail::learning_rate * (ratio - item.slowness);
+            item.slowness_class = detail::slowness_class(item.slowness);
         }
     } else if (end != run_end::stopped) {
         item.ejected_until = item.health.on_failure({}, may_eject(), now);
@@ -143,13 +156,8 @@
 }
 
 std::int64_t room_pool::usable_cpu_millis(std::string_view service) const {
-    std::int64_t total = 0;
-    for (const auto& [id, item] : targets_) {
-        if (item.target.usable && item.target.service == service) {
-            total += item.target.capacity.cpu_millis;
-        }
-    }
-    return total;
+    const auto found = usable_cpu_.find(service);
+    return found == usable_cpu_.end() ? 0 : found->second;
 }
 
 } // namespace hawthornstall::runs
--- a/src/hawthornstall/runs/room_pool.hpp
+++ b/src/hawthornstall/runs/room_pool.hpp
@@ -25,7 +25,8 @@
 struct placement_request {
     std::string_view service{};
     const job_step* step = nullptr;
-    std::span<const std::string> crowded{};              ///< Targets that hold as many tasks of the step as may be.
+    std::span<const std::string>
+        crowded{};            ///< Targets that hold as many tasks of the step as may be.
     std::string_view avoid{}; ///< Target on which the task failed before.
 };
 
@@ -62,14 +63,17 @@
         core::room reserved{};
         scheduling::target_health health;
         core::time_ms ejected_until{};
-        double slowness = 1.0; ///< Run time against the declared one, smoothed.
+        int slowness_class = 0; ///< Rounded logarithm of `slowness`.
+        double slowness = 1.0;  ///< Run time against the declared one, smoothed.
         std::uint32_t running = 0;
     };
 
     [[nodiscard]] static bool may_run(const pooled_target& item, const placement_request& request);
     [[nodiscard]] bool may_eject() const;
+    void sum_usable_cpu();
 
     std::map<std::string, pooled_target, std::less<>> targets_;
+    std::map<std::string, std::int64_t, std::less<>> usable_cpu_; ///< By service.
 };
 
 } // namespace hawthornstall::runs
--- a/src/hawthornstall/runs/run_layouts.hpp
+++ b/src/hawthornstall/runs/run_layouts.hpp
@@ -59,8 +59,15 @@
 
 template <> struct layout<runs::start_run> {
     using type = runs::start_run;
+    static constexpr auto members = std::tuple{
+        &type::scheduler, &type::key, &type::target, &type::run, &type::specification, &type::room};
+};
+
+template <> struct layout<runs::grant_run> {
+    using type = runs::grant_run;
     static constexpr auto members =
-        std::tuple{&type::key, &type::target, &type::run, &type::specification, &type::room};
+        std::tuple{&type::number, &type::key,   &type::holder, &type::target,
+                   &type::step,   &type::index, &type::run};
 };
 
 template <> struct layout<runs::stop_run> {
--- a/src/hawthornstall/runs/run_messages.hpp
+++ b/src/hawthornstall/runs/run_messages.hpp
@@ -13,12 +13,24 @@
 
 namespace hawthornstall::runs {
 
-/// Front end to scheduler: run this job. `number` is unique among the sender's jobs.
+/// Front end to scheduler: run this job. `number` is unique among the sender's jobs. The
+/// specification stays with the front end, which sends it to the holders.
 struct submit_job {
     std::uint64_t number = 0;
     job_request job{};
 };
 
+/// Scheduler to front end: order a run from the holder of a target.
+struct grant_run {
+    std::uint64_t number = 0; ///< The front end's number of the job.
+    std::uint64_t key = 0;    ///< Unique among the sender's runs.
+    std::string holder{};
+    std::string target{};
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    std::uint32_t run = 0; ///< Number of the start.
+};
+
 /// Front end to scheduler: the caller has left.
 struct cancel_job {
     std::uint64_t number = 0;
@@ -32,9 +44,10 @@
     std::string reason{};
 };
 
-/// Scheduler to the host that holds the target: start a run.
+/// Front end to the host that holds the target: start a run that the scheduler has granted.
 struct start_run {
-    std::uint64_t key = 0; ///< Unique among the sender's runs.
+    std::string scheduler{}; ///< Host that granted the run and is told its end.
+    std::uint64_t key = 0;   ///< Unique among the scheduler's runs.
     std::string target{};
     run_name run{};
     std::string specification{};
@@ -65,11 +78,15 @@
     core::room capacity{};
     core::room used_by_others{}; ///< By runs of other schedulers than the receiver.
     bool usable = false;
+
+    bool operator==(const held_target&) const = default;
 };
 
 /// Holder to scheduler: all of the holder's targets.
 struct target_report {
     std::vector<held_target> targets{};
+
+    bool operator==(const target_report&) const = default;
 };
 
 /// Entry host to all others, regularly and whenever it changes.
@@ -82,7 +99,7 @@
 
 /// The order of the alternatives is part of the wire format: new ones go to the end.
 using run_message = std::variant<submit_job, cancel_job, job_ended, start_run, stop_run, run_ended,
-                                 target_report, host_presence>;
+                                 target_report, host_presence, grant_run>;
 
 /// A message for a host, which may be this one.
 struct addressed_message {
--- a/src/hawthornstall/runs/target_holder.cpp
+++ b/src/hawthornstall/runs/target_holder.cpp
@@ -12,9 +12,15 @@
 /// Pause before a target that another holder took over is claimed again.
 constexpr core::duration_ms fenced_pause{1'000};
 
-/// Pause between two reports to the schedulers.
+/// Reports to the schedulers are due at multiples of this when something has changed.
 constexpr core::duration_ms report_interval{100};
 
+/// A report is repeated after this time, since a new scheduler may have missed the last one.
+constexpr core::duration_ms repeat_report_after{500};
+
+/// An order that arrives this long after the stop of its run is not expected any more.
+constexpr core::duration_ms bar_time{10'000};
+
 /// A scheduler that has ordered nothing for this long gets no reports, unless it is the chosen one.
 constexpr core::duration_ms forget_scheduler_after{5'000};
 
@@ -31,24 +37,32 @@
 target_holder::target_holder(run_bounds bounds, std::uint64_t host_bits, core::time_ms now)
     : bounds_(bounds), tokens_(host_bits), first_claim_at_(now + detail::settle_time) {}
 
-void target_holder::start(const std::string& scheduler, const start_run& order, core::time_ms now) {
-    schedulers_[scheduler] = now;
+void target_holder::start(const start_run& order, core::time_ms now) {
+    schedulers_[order.scheduler] = now;
+    const run_key key{order.scheduler, order.key};
     const auto found = sessions_.find(order.target);
-    if (found == sessions_.end() || found->second.released) {
-        effects_.messages.push_back(
-            {scheduler, run_ended{.key = order.key, .end = run_end::rejected}});
+    if (found == sessions_.end() || found->second.released || barred_.contains(key)) {
+        reject(key);
         return;
     }
-    found->second.session.start(scheduler, order, now);
+    found->second.session.start(order, now);
     collect(found->second.session);
 }
 
 void target_holder::stop(const std::string& scheduler, const stop_run& order, core::time_ms now) {
+    const run_key key{scheduler, order.key};
     const auto found = sessions_.find(order.target);
-    if (found != sessions_.end()) {
-        found->second.session.stop({scheduler, order.key}, now);
-        collect(found->second.session);
+    if (found == sessions_.end() || !found->second.session.stop(key, now)) {
+        barred_[key] = now;
+        reject(key);
+        return;
     }
+    collect(found->second.session);
+}
+
+void target_holder::reject(const run_key& run) {
+    effects_.messages.push_back(
+        {run.scheduler, run_ended{.key = run.number, .end = run_end::rejected}});
 }
 
 void target_holder::scheduler_unreachable(std::string_view scheduler, core::time_ms now) {
@@ -85,6 +99,7 @@
     std::erase_if(schedulers_, [&](const auto& item) {
         return now - item.second > detail::forget_scheduler_after;
     });
+    std::erase_if(barred_, [&](const auto& item) { return now - item.second > detail::bar_time; });
     std::set<std::string> receivers;
     for (const auto& [name, last_order] : schedulers_) {
         receivers.insert(name);
@@ -93,7 +108,7 @@
         receivers.insert(std::move(*chosen));
     }
     for (const auto& receiver : receivers) {
-        report_to(receiver);
+        report_to(receiver, now);
     }
 }
 
@@ -141,7 +156,7 @@
     }
 }
 
-void target_holder::report_to(const std::string& scheduler) {
+void target_holder::report_to(const std::string& scheduler, core::time_ms now) {
     target_report report;
     for (const auto& [id, held] : sessions_) {
         const auto& record = held.session.record();
@@ -154,7 +169,11 @@
                                   .used_by_others = held.session.used_by_others(scheduler),
                                   .usable = held.session.usable() && !held.released});
     }
-    effects_.messages.push_back({scheduler, std::move(report)});
+    auto& last = reports_[scheduler];
+    if (last.report != report || now - last.sent >= detail::repeat_report_after) {
+        last = {report, now};
+        effects_.messages.push_back({scheduler, std::move(report)});
+    }
 }
 
 void target_holder::collect(target_session& session) {
--- a/src/hawthornstall/runs/target_holder.hpp
+++ b/src/hawthornstall/runs/target_holder.hpp
@@ -47,7 +47,9 @@
 public:
     target_holder(run_bounds bounds, std::uint64_t host_bits, core::time_ms now);
 
-    void start(const std::string& scheduler, const start_run& order, core::time_ms now);
+    void start(const start_run& order, core::time_ms now);
+    /// Stops a run. One that is not known will not be started when its order arrives later, since
+    /// the two come from different hosts.
     void stop(const std::string& scheduler, const stop_run& order, core::time_ms now);
 
     /// A host that cannot be reached orders nothing any more: its runs are stopped.
@@ -71,7 +73,8 @@
     void take_over(const discovery::target_roster& roster, const host_view& hosts,
                    core::time_ms now, core::time_ms wall);
     void give_up(const discovery::target_roster& roster, const host_view& hosts, core::time_ms now);
-    void report_to(const std::string& scheduler);
+    void report_to(const std::string& scheduler, core::time_ms now);
+    void reject(const run_key& run);
     void collect(target_session& session);
 
     struct held_session {
@@ -84,6 +87,12 @@
     std::map<std::string, held_session, std::less<>> sessions_;
     std::map<std::string, core::time_ms, std::less<>> retry_at_;   ///< By target, after a fence.
     std::map<std::string, core::time_ms, std::less<>> schedulers_; ///< Last order of each.
+    std::map<run_key, core::time_ms> barred_; ///< Runs stopped before their order came.
+    struct sent_report {
+        target_report report;
+        core::time_ms sent{};
+    };
+    std::map<std::string, sent_report, std::less<>> reports_; ///< Last one, by scheduler.
     core::time_ms first_claim_at_;
     core::time_ms report_due_{};
     holder_effects effects_;
--- a/src/hawthornstall/runs/target_session.cpp
+++ b/src/hawthornstall/runs/target_session.cpp
@@ -39,9 +39,8 @@
     record_ = record;
 }
 
-void target_session::start(const std::string& scheduler, const start_run& order,
-                           core::time_ms now) {
-    const run_entry entry{.key = run_key{scheduler, order.key},
+void target_session::start(const start_run& order, core::time_ms now) {
+    const run_entry entry{.key = run_key{order.scheduler, order.key},
                           .run = order.run,
                           .room = order.room,
                           .state = phase::starting,
@@ -61,12 +60,15 @@
     list(bounds_.longest_lease / detail::lease_renewals, now);
 }
 
-void target_session::stop(const run_key& key, core::time_ms now) {
-    for (auto& entry : runs_) {
-        if (entry.key == key && (entry.state == phase::starting || entry.state == phase::running)) {
-            send_stop(entry, now);
-        }
+bool target_session::stop(const run_key& key, core::time_ms now) {
+    const auto entry = std::ranges::find(runs_, key, &run_entry::key);
+    if (entry == runs_.end()) {
+        return false;
+    }
+    if (entry->state == phase::starting || entry->state == phase::running) {
+        send_stop(*entry, now);
     }
+    return true;
 }
 
 void target_session::stop_all_of(std::string_view scheduler, core::time_ms now) {
--- a/src/hawthornstall/runs/target_session.hpp
+++ b/src/hawthornstall/runs/target_session.hpp
@@ -40,8 +40,9 @@
     /// Takes a later announcement of the same target.
     void update(const discovery::target_record& record, core::time_ms now);
 
-    void start(const std::string& scheduler, const start_run& order, core::time_ms now);
-    void stop(const run_key& key, core::time_ms now);
+    void start(const start_run& order, core::time_ms now);
+    /// Returns false when no such run is known.
+    bool stop(const run_key& key, core::time_ms now);
 
     /// Stops all runs of a scheduler that cannot be reached any more.
     void stop_all_of(std::string_view scheduler, core::time_ms now);
--- a/tests/hawthornstall/runs/job_desk_test.cpp
+++ b/tests/hawthornstall/runs/job_desk_test.cpp
@@ -65,5 +65,31 @@
     }
 }
 
+// Guards against an order with another job's specification or room.
+TEST_CASE("a grant becomes an order with the job's own specification") {
+    job_desk desk;
+    job_request job;
+    job.id = "a";
+    job.specification = "spec";
+    job.steps.resize(2);
+    job.steps[1].room = {.cpu_millis = 500};
+    desk.open(70, job, "s", start_time);
+    (void)desk.take_effects();
+    const grant_run grant{
+        .number = 1, .key = 9, .holder = "h", .target = "w-1", .step = 1, .index = 3, .run = 2};
+    desk.granted("other", grant);
+    CHECK(desk.take_effects().messages.empty());
+    desk.granted("s", grant);
+    const auto effects = desk.take_effects();
+    REQUIRE(effects.messages.size() == 1);
+    CHECK(effects.messages[0].host == "h");
+    const auto& order = std::get<start_run>(effects.messages[0].message);
+    CHECK(order.scheduler == "s");
+    CHECK(order.key == 9);
+    CHECK(order.specification == "spec");
+    CHECK(order.room == core::room{.cpu_millis = 500});
+    CHECK(order.run == run_name{.task = {"a", 1, 3}, .number = 2});
+}
+
 } // namespace
 } // namespace hawthornstall::runs
--- a/tests/hawthornstall/runs/job_scheduler_test.cpp
+++ b/tests/hawthornstall/runs/job_scheduler_test.cpp
@@ -66,7 +66,7 @@
         scheduler.place(now);
         auto effects = scheduler.take_effects();
         for (auto& item : effects.messages) {
-            if (auto* const start = std::get_if<start_run>(&item.message)) {
+            if (auto* const start = std::get_if<grant_run>(&item.message)) {
                 starts.push_back(std::move(*start));
             } else if (auto* const stop = std::get_if<stop_run>(&item.message)) {
                 stops.push_back(std::move(*stop));
@@ -79,7 +79,7 @@
     core::time_ms now = start_time;
     job_scheduler scheduler;
     std::uint64_t last_number = 0;
-    std::vector<start_run> starts;
+    std::vector<grant_run> starts;
     std::vector<stop_run> stops;
     std::vector<job_ended> answers;
 };
@@ -110,7 +110,7 @@
         bench.submit(make_job("a", 1, duration_ms{60}));
         for (std::size_t index = 0; index < item.ends.size(); ++index) {
             REQUIRE(bench.starts.size() == index + 1);
-            CHECK(bench.starts[index].run.number == index + 1);
+            CHECK(bench.starts[index].run == index + 1);
             bench.end(bench.starts[index].key, item.ends[index]);
         }
         CHECK(bench.starts.size() == item.starts);
@@ -197,6 +197,59 @@
     CHECK(bench.answers.size() == 2);
 }
 
+// Guards against a grant that is lost with one of two callers of the same job: its run would never
+// start, and its room would stay taken.
+TEST_CASE("a job whose first caller leaves goes on for the second one") {
+    scheduler_bench bench{2};
+    bench.submit(make_job("a", 1, duration_ms{60}), "home-1");
+    bench.submit(make_job("a", 1, duration_ms{60}), "home-2");
+    bench.scheduler.cancel("home-1", {.number = 1}, bench.now);
+    bench.settle();
+    REQUIRE(bench.stops.size() == 1);
+    bench.end(bench.stops[0].key, run_end::rejected);
+    REQUIRE(bench.starts.size() == 2);
+    CHECK(bench.starts[1].number == 2);
+    bench.end(bench.starts[1].key, run_end::done);
+    REQUIRE(bench.answers.size() == 1);
+    CHECK(bench.answers[0].result == job_result::completed);
+}
+
+// Guards against jobs that wait for a target on which everything stands still, and for an order
+// that was lost on its way.
+TEST_CASE("an overdue run is stopped and starts elsewhere") {
+    scheduler_bench bench{2};
+    bench.submit(make_job("a", 1, duration_ms{60}));
+    REQUIRE(bench.starts.size() == 1);
+    bench.now += duration_ms{500};
+    bench.settle();
+    CHECK(bench.stops.empty());
+    bench.now += duration_ms{500};
+    bench.settle();
+    REQUIRE(bench.stops.size() == 1);
+    bench.end(bench.starts[0].key, run_end::stopped);
+    REQUIRE(bench.starts.size() == 2);
+    CHECK(bench.starts[1].target != bench.starts[0].target);
+    CHECK(bench.starts[1].run == 2);
+}
+
+// Guards against jobs that are begun and then wait for later ones with an earlier objective.
+TEST_CASE("begun jobs come before waiting ones, and late ones last") {
+    scheduler_bench bench{1};
+    bench.submit(make_job("begun", 3, duration_ms{400}));
+    auto late = make_job("late", 1, duration_ms{400});
+    late.terms.stretch = 0.5;
+    late.terms.deadline = duration_ms{10'000};
+    bench.submit(late);
+    bench.submit(make_job("in time", 1, duration_ms{60}));
+    REQUIRE(bench.starts.size() == 2);
+    std::vector<std::uint64_t> order;
+    for (std::size_t index = 0; index < 3; ++index) {
+        bench.end(bench.starts[index].key, run_end::done);
+        order.push_back(bench.starts.back().number);
+    }
+    CHECK(order == std::vector<std::uint64_t>{1, 3, 2});
+}
+
 // Guards against a restart beside runs on the targets of a host that cannot be reached.
 TEST_CASE("a job with runs on a lost holder is given up") {
     scheduler_bench bench{2};
--- a/tests/hawthornstall/runs/target_holder_test.cpp
+++ b/tests/hawthornstall/runs/target_holder_test.cpp
@@ -109,7 +109,7 @@
 // Guards against an order that stays open because its target has moved to another holder.
 TEST_CASE("an order for a target that is not held is rejected") {
     target_holder holder{{}, 1, start_time};
-    holder.start("s", {.key = 5, .target = "w-9"}, start_time);
+    holder.start({.scheduler = "s", .key = 5, .target = "w-9"}, start_time);
     const auto effects = holder.take_effects();
     REQUIRE(effects.messages.size() == 1);
     const auto* const ended = std::get_if<run_ended>(&effects.messages[0].message);
@@ -118,5 +118,33 @@
     CHECK(ended->end == run_end::rejected);
 }
 
+// Guards against a run that starts after it was stopped, because its order came from another host
+// and was slower than the stop.
+TEST_CASE("an order that arrives after its stop is rejected") {
+    target_holder holder{{}, 1, start_time};
+    holder.stop("s", {.key = 5, .target = "w-1"}, start_time);
+    holder.start({.scheduler = "s", .key = 5, .target = "w-1"}, start_time);
+    const auto effects = holder.take_effects();
+    REQUIRE(effects.messages.size() == 2);
+    for (const auto& item : effects.messages) {
+        CHECK(std::get<run_ended>(item.message).end == run_end::rejected);
+    }
+}
+
+// Guards against scheduling on the smallest host of a deployment.
+TEST_CASE("the host with the largest share schedules") {
+    auto small = make_host("a", "bilbao");
+    small.host.weight = 0.09;
+    auto large = make_host("b", "oviedo");
+    large.host.weight = 0.3;
+    host_view view{small};
+    CHECK(view.scheduler() == "a");
+    view.present(large);
+    CHECK(view.scheduler() == "b");
+    large.leaving = true;
+    view.present(large);
+    CHECK(view.scheduler() == "a");
+}
+
 } // namespace
 } // namespace hawthornstall::runs
--- a/tests/hawthornstall/runs/target_session_test.cpp
+++ b/tests/hawthornstall/runs/target_session_test.cpp
@@ -31,7 +31,8 @@
 }
 
 start_run make_order(std::uint64_t key, std::uint32_t index) {
-    return {.key = key,
+    return {.scheduler = "s",
+            .key = key,
             .target = "w-1",
             .run = {.task = {"job", 0, index}, .number = 1},
             .specification = "spec",
@@ -101,7 +102,7 @@
 TEST_CASE("a target is usable once its runs are listed") {
     target_session session{make_record(), 10, run_bounds{}, start_time};
     CHECK_FALSE(session.usable());
-    session.start("s", make_order(1, 0), start_time);
+    session.start(make_order(1, 0), start_time);
     const auto effects = session.take_effects();
     REQUIRE(effects.reports.size() == 1);
     CHECK(effects.reports[0].ended.end == run_end::rejected);
@@ -129,7 +130,7 @@
         CAPTURE(item.name);
         session_bench bench{item.silent_for_long ? duration_ms{60'000} : duration_ms{200}};
         REQUIRE(bench.session.usable());
-        bench.session.start("s", make_order(7, 0), bench.now);
+        bench.session.start(make_order(7, 0), bench.now);
         bench.deliver();
         bench.run_for(duration_ms{50});
         if (item.stop) {
@@ -151,7 +152,7 @@
 TEST_CASE("a run that does not fit is rejected") {
     session_bench bench;
     for (std::uint64_t key = 1; key <= 3; ++key) {
-        bench.session.start("s", make_order(key, static_cast<std::uint32_t>(key)), bench.now);
+        bench.session.start(make_order(key, static_cast<std::uint32_t>(key)), bench.now);
     }
     bench.deliver();
     REQUIRE(bench.reports.size() == 1);
@@ -163,7 +164,7 @@
 // Guards against a second holder that starts work beside the runs of the first.
 TEST_CASE("a new holder stops what runs before it starts anything") {
     session_bench first{duration_ms{60'000}};
-    first.session.start("s", make_order(1, 0), first.now);
+    first.session.start(make_order(1, 0), first.now);
     first.deliver();
     target_session second{make_record(), 11, run_bounds{}, first.now};
     const auto claim = second.take_effects();
@@ -201,7 +202,7 @@
             now_ += duration_ms{5};
             if (chance(10)) {
                 ++key_;
-                session.start("s", make_order(key_, static_cast<std::uint32_t>(key_)), now_);
+                session.start(make_order(key_, static_cast<std::uint32_t>(key_)), now_);
                 ++ordered;
             }
             if (key_ > 0 && chance(2)) {
