--- a/src/hawthornstall/runs/target_session.cpp
+++ b/src/hawthornstall/runs/target_session.cpp
@@ -6,7 +6,11 @@
 namespace hawthornstall::runs {
 namespace detail {
 
-/// An answer takes about a millisecond; a call without one for this long is not waited for.
+/// An answer takes about a millisecond; a start or stop without one for this long is settled by
+/// further calls, so that its task can start elsewhere while its caller still waits.
+constexpr core::duration_ms order_timeout{100};
+
+/// A listing without an answer for this long shows that the target cannot be reached.
 constexpr core::duration_ms call_timeout{300};
 
 /// Pause before a target that did not answer is called again.
@@ -56,7 +60,7 @@
         return;
     }
     runs_.push_back(entry);
-    call(start_call{order.run, order.specification, *lease}, detail::call_timeout, now);
+    call(start_call{order.run, order.specification, *lease}, detail::order_timeout, now);
     list(bounds_.longest_lease / detail::lease_renewals, now);
 }
 
@@ -83,7 +87,7 @@
 void target_session::send_stop(run_entry& entry, core::time_ms now) {
     entry.state = phase::stopping;
     entry.changed = now;
-    call(stop_call{entry.run}, detail::call_timeout, now);
+    call(stop_call{entry.run}, detail::order_timeout, now);
 }
 
 void target_session::answered(std::uint64_t number, const call_answer& answer, core::time_ms now) {
@@ -113,15 +117,19 @@
                                  core::time_ms now) {
     const bool silent =
         answer.fault == call_fault::unanswered || answer.fault == call_fault::not_delivered;
-    reachable_ = !silent;
-    if (silent) {
+    const bool is_order = !std::holds_alternative<list_call>(call.request);
+    if (!silent) {
+        reachable_ = true;
+    } else if (!is_order || answer.fault == call_fault::not_delivered) {
+        // One order without an answer may be a lost one; a listing decides.
+        reachable_ = false;
         retry_at_ = now + detail::retry_pause;
     }
     if (answer.clock_ms) {
-        // The answer may have been underway since just after the call was sent: counting from
-        // there never takes the target's clock for later than it may be by the round trip.
+        // Counting from the arrival never takes the target's clock for later than it is, so no lease
+        // is longer than assumed here.
         clock_ = answer.clock_ms;
-        clock_at_ = std::max(call.sent, now - detail::call_timeout);
+        clock_at_ = now;
     }
 }
 
@@ -240,16 +248,16 @@
     if (!reachable_ && !runs_.empty() && now > lapses_at_) {
         finish_all(run_end::lapsed, {}, now);
     }
-    if (now < retry_at_) {
-        return;
-    }
     for (auto& entry : runs_) {
         const bool unanswered = entry.state == phase::stopping &&
-                                now - entry.changed > detail::call_timeout + detail::retry_pause;
+                                now - entry.changed > detail::order_timeout;
         if (unanswered) {
             send_stop(entry, now);
         }
     }
+    if (now < retry_at_) {
+        return;
+    }
     if (waiting_listing_) {
         return;
     }
