Give up jobs whose grants nobody uses, and count only a target's own failures against it

Cause: a scheduler that was frozen for 4 s read, on waking, submissions that their front ends had answered long ago. The refusal's log line now says what the scheduler knows of its targets; 'no such run is known' in the ends of runs led to the cause. Also mended on the way: an ejected target was never admitted again, and run keys of a restarted scheduler could meet those of its predecessor. Ruled out: broken links (submissions and refusals passed), leaked room.

--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -29,6 +29,9 @@
 /// The process ends this long before it would be killed.
 constexpr core::duration_ms exit_margin{300};
 
+/// No host starts more runs in a millisecond, so that keys of two processes never meet.
+constexpr std::uint64_t runs_per_ms = 1'000;
+
 constexpr int ready_status = 200;
 constexpr int not_ready_status = 503;
 
@@ -58,6 +61,7 @@
 dispatch_host<Codec>::dispatch_host(dispatch_options options, observer report)
     : options_(std::move(options)), report_(std::move(report)),
       hosts_({.host = options_.host, .leaving = false, .held_targets = {}}),
+      scheduler_(options_.self.incarnation * detail::runs_per_ms),
       holder_(options_.bounds, options_.host_bits, core::ms_clock::now()) {}
 
 template <dispatch_codec Codec> void dispatch_host<Codec>::attach(runtime::event_loop& loop) {
@@ -321,7 +325,11 @@
 
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::apply_run(const std::string& from, const grant_run& message) {
-    desk_.granted(from, message);
+    if (!desk_.granted(from, message)) {
+        report_({.name = "grant_ignored",
+                 .peer = from,
+                 .detail = "no open job has number " + std::to_string(message.number)});
+    }
 }
 
 template <dispatch_codec Codec>
--- a/src/hawthornstall/runs/job_desk.cpp
+++ b/src/hawthornstall/runs/job_desk.cpp
@@ -40,11 +40,12 @@
     }
 }
 
-void job_desk::granted(std::string_view scheduler, const grant_run& grant) {
+bool job_desk::granted(std::string_view scheduler, const grant_run& grant) {
     const auto position = open_.find(grant.number);
     if (position == open_.end() || position->second.scheduler != scheduler ||
         grant.step >= position->second.job.steps.size()) {
-        return;
+        effects_.messages.push_back({std::string{scheduler}, cancel_job{.number = grant.number}});
+        return false;
     }
     const auto& job = position->second.job;
     effects_.messages.push_back(
@@ -55,6 +56,7 @@
                    .run = {.task = {job.id, grant.step, grant.index}, .number = grant.run},
                    .specification = job.specification,
                    .room = job.steps[grant.step].room}});
+    return true;
 }
 
 void job_desk::ended(std::string_view scheduler, const job_ended& message, core::time_ms now) {
--- a/src/hawthornstall/runs/job_desk.hpp
+++ b/src/hawthornstall/runs/job_desk.hpp
@@ -35,9 +35,10 @@
     void open(std::uint64_t request, job_request job, const std::optional<std::string>& scheduler,
               core::time_ms now);
 
-    /// Orders a granted run from its holder. A grant for a job that has been answered is ignored:
-    /// the scheduler is being told that the caller has left.
-    void granted(std::string_view scheduler, const grant_run& grant);
+    /// Orders a granted run from its holder. A grant for a job that is not open any more is not
+    /// used, and the scheduler is told to give the job up: a scheduler that was frozen reads
+    /// submissions that were answered long ago. Returns whether the grant was used.
+    bool granted(std::string_view scheduler, const grant_run& grant);
 
     /// Takes the end of a job.
     void ended(std::string_view scheduler, const job_ended& message, core::time_ms now);
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -20,6 +20,9 @@
 /// Added to the time of an overdue run, so that short tasks are not stopped because of a pause.
 constexpr core::duration_ms overdue_slack{600};
 
+/// Begun jobs go on for this long after their deadline; nobody waits for an answer any longer.
+constexpr core::duration_ms late_limit{5'000};
+
 /// Interval at which overdue runs are looked for.
 constexpr core::duration_ms overdue_interval{100};
 
@@ -122,6 +125,13 @@
     const auto& step = job.request.steps[task.step];
     pool_.release(task.target, step.room);
     pool_.learn(task.target, message.end, message.ran_for, step.estimated, now);
+    if (message.end != run_end::done && message.end != run_end::stopped) {
+        effects_.events.push_back({"run_without_success", job.request.id,
+                                   std::string{to_string(message.end)} + " on target " +
+                                       task.target + " of host " + task.holder + ": " +
+                                       message.reason,
+                                   now - job.arrived});
+    }
     task.not_before = now + message.settled_in;
     set_state(job, task,
               message.end == run_end::done ? detail::phase::done : detail::phase::pending);
@@ -243,7 +253,15 @@
     std::vector<unmet_need> unmet;
     for (auto* const job : waiting) {
         if (!job->started && is_hopeless(*job, now)) {
-            start_ending(*job, job_result::refused, "the deadline would pass before the end", now);
+            start_ending(*job, job_result::refused,
+                         "the deadline would pass before the end; " +
+                             pool_.describe(job->request.steps.front().room),
+                         now);
+            finish_if_over(*job, now);
+            continue;
+        }
+        if (now > job->useful_until + detail::late_limit) {
+            start_ending(*job, job_result::lost, "not done long after its deadline", now);
             finish_if_over(*job, now);
             continue;
         }
@@ -337,6 +355,7 @@
         return;
     }
     overdue_check_ = now + detail::overdue_interval;
+    pool_.readmit(now);
     for (const auto& [key, order] : orders_) {
         auto& job = jobs_.at(order.job);
         auto& task = job.tasks.at(order.task);
--- a/src/hawthornstall/runs/job_scheduler.hpp
+++ b/src/hawthornstall/runs/job_scheduler.hpp
@@ -32,6 +32,10 @@
 /// Pure state machine. Inputs change its state; place() starts what fits.
 class job_scheduler {
 public:
+    /// Run keys count from `first_key`, which must be larger than those of earlier processes of
+    /// this host: holders remember keys for a while.
+    explicit job_scheduler(std::uint64_t first_key = 0) : last_key_(first_key) {}
+
     void submit(const std::string& host, const submit_job& message, core::time_ms now);
     void cancel(const std::string& host, const cancel_job& message, core::time_ms now);
     void run_over(const run_ended& message, core::time_ms now);
@@ -84,7 +88,7 @@
     std::map<job_waiter, std::string> waiters_;           ///< Job that each waits for.
     job_order order_;
     std::map<std::uint64_t, run_order> orders_; ///< By run key.
-    std::uint64_t last_key_ = 0;
+    std::uint64_t last_key_;
     std::uint64_t last_number_ = 0;
     core::time_ms overdue_check_{};
     scheduler_effects effects_;
--- a/src/hawthornstall/runs/room_pool.cpp
+++ b/src/hawthornstall/runs/room_pool.cpp
@@ -129,10 +129,6 @@
         return;
     }
     auto& item = found->second;
-    if (item.health.current() == scheduling::target_health::phase::ejected &&
-        now >= item.ejected_until) {
-        item.health.start_probe();
-    }
     if (end == run_end::done) {
         item.health.on_success();
         if (estimated.count() > 0) {
@@ -142,11 +138,40 @@
             item.slowness += detail::learning_rate * (ratio - item.slowness);
             item.slowness_class = detail::slowness_class(item.slowness);
         }
+    } else if (end == run_end::rejected) {
+        // No fault of the target: its holder's next report tells when it takes work again.
+        item.target.usable = false;
     } else if (end != run_end::stopped) {
         item.ejected_until = item.health.on_failure({}, may_eject(), now);
     }
 }
 
+void room_pool::readmit(core::time_ms now) {
+    for (auto& [id, item] : targets_) {
+        if (item.health.current() == scheduling::target_health::phase::ejected &&
+            now >= item.ejected_until) {
+            item.health.start_probe();
+        }
+    }
+}
+
+std::string room_pool::describe(const core::room& room) const {
+    std::size_t usable = 0;
+    std::size_t ejected = 0;
+    std::size_t with_room = 0;
+    std::size_t at_limit = 0;
+    for (const auto& [id, item] : targets_) {
+        const auto free = item.target.capacity - item.target.used_by_others - item.reserved;
+        usable += item.target.usable ? 1 : 0;
+        ejected += item.health.limit() == 0 ? 1 : 0;
+        at_limit += item.running >= item.health.limit() ? 1 : 0;
+        with_room += item.target.usable && free.holds(room) ? 1 : 0;
+    }
+    return std::to_string(targets_.size()) + " targets known, " + std::to_string(usable) +
+           " usable, " + std::to_string(with_room) + " with room, " + std::to_string(at_limit) +
+           " at their limit after failures, " + std::to_string(ejected) + " ejected";
+}
+
 bool room_pool::could_hold(std::string_view service, const job_step& step) const {
     return std::ranges::any_of(targets_, [&](const auto& entry) {
         const auto& target = entry.second.target;
--- a/src/hawthornstall/runs/room_pool.hpp
+++ b/src/hawthornstall/runs/room_pool.hpp
@@ -50,6 +50,12 @@
     void learn(std::string_view target, run_end end, core::duration_ms ran_for,
                core::duration_ms estimated, core::time_ms now);
 
+    /// Admits targets whose ejection is over, with one task at first.
+    void readmit(core::time_ms now);
+
+    /// What the pool knows, for logs: targets known, usable, ejected and with room for `room`.
+    [[nodiscard]] std::string describe(const core::room& room) const;
+
     /// Whether any known target of the service could ever hold a task of `step`.
     [[nodiscard]] bool could_hold(std::string_view service, const job_step& step) const;
 
--- a/src/hawthornstall/runs/run_layouts.hpp
+++ b/src/hawthornstall/runs/run_layouts.hpp
@@ -31,7 +31,7 @@
     static constexpr auto last = runs::job_result::lost;
 };
 
-template <> struct layout<runs::run_end> { static constexpr auto last = runs::run_end::lost; };
+template <> struct layout<runs::run_end> { static constexpr auto last = runs::run_end::declined; };
 
 template <> struct layout<runs::task_name> {
     using type = runs::task_name;
@@ -77,7 +77,7 @@
 template <> struct layout<runs::run_ended> {
     using type = runs::run_ended;
     static constexpr auto members =
-        std::tuple{&type::key, &type::end, &type::ran_for, &type::settled_in};
+        std::tuple{&type::key, &type::end, &type::ran_for, &type::settled_in, &type::reason};
 };
 
 template <> struct layout<runs::held_target> {
--- a/src/hawthornstall/runs/run_messages.hpp
+++ b/src/hawthornstall/runs/run_messages.hpp
@@ -65,6 +65,7 @@
     std::uint64_t key = 0;
     run_end end = run_end::lost;
     core::duration_ms ran_for{};    ///< From the start to its end; 0 when it did not start.
+    std::string reason{};           ///< Why it is not done, for logs.
     core::duration_ms settled_in{}; ///< The task may not be started elsewhere before this passes.
 };
 
--- a/src/hawthornstall/runs/run_types.hpp
+++ b/src/hawthornstall/runs/run_types.hpp
@@ -43,8 +43,9 @@
     failed,   ///< Through the task's own fault or the target's.
     stopped,  ///< On request.
     lapsed,   ///< The lease of the target was not renewed in time.
-    rejected, ///< The target did not start it, and will not.
+    rejected, ///< Its holder or the target did not start it, and will not.
     lost,     ///< The target ended or cannot be reached, and nothing of the run is left on it.
+    declined, ///< The target says that it is unhealthy and has done nothing.
 };
 
 /// Name for logs.
@@ -60,6 +61,8 @@
         return "lapsed";
     case run_end::rejected:
         return "rejected";
+    case run_end::declined:
+        return "declined";
     case run_end::lost:
         break;
     }
--- a/src/hawthornstall/runs/target_holder.cpp
+++ b/src/hawthornstall/runs/target_holder.cpp
@@ -41,8 +41,12 @@
     schedulers_[order.scheduler] = now;
     const run_key key{order.scheduler, order.key};
     const auto found = sessions_.find(order.target);
-    if (found == sessions_.end() || found->second.released || barred_.contains(key)) {
-        reject(key);
+    if (found == sessions_.end() || found->second.released) {
+        reject(key, "the target is not held here any more");
+        return;
+    }
+    if (barred_.contains(key)) {
+        reject(key, "stopped before its order came");
         return;
     }
     found->second.session.start(order, now);
@@ -54,15 +58,16 @@
     const auto found = sessions_.find(order.target);
     if (found == sessions_.end() || !found->second.session.stop(key, now)) {
         barred_[key] = now;
-        reject(key);
+        reject(key, "no such run is known");
         return;
     }
     collect(found->second.session);
 }
 
-void target_holder::reject(const run_key& run) {
+void target_holder::reject(const run_key& run, std::string_view reason) {
     effects_.messages.push_back(
-        {run.scheduler, run_ended{.key = run.number, .end = run_end::rejected}});
+        {run.scheduler,
+         run_ended{.key = run.number, .end = run_end::rejected, .reason = std::string{reason}}});
 }
 
 void target_holder::scheduler_unreachable(std::string_view scheduler, core::time_ms now) {
--- a/src/hawthornstall/runs/target_holder.hpp
+++ b/src/hawthornstall/runs/target_holder.hpp
@@ -74,7 +74,7 @@
                    core::time_ms now, core::time_ms wall);
     void give_up(const discovery::target_roster& roster, const host_view& hosts, core::time_ms now);
     void report_to(const std::string& scheduler, core::time_ms now);
-    void reject(const run_key& run);
+    void reject(const run_key& run, std::string_view reason);
     void collect(target_session& session);
 
     struct held_session {
--- a/src/hawthornstall/runs/target_session.cpp
+++ b/src/hawthornstall/runs/target_session.cpp
@@ -50,13 +50,10 @@
                           .state = phase::starting,
                           .started = now,
                           .changed = now};
-    auto free = record_.capacity;
-    for (const auto& known : runs_) {
-        free -= known.room;
-    }
     const auto lease = new_lease(now);
-    if (!usable() || !free.holds(order.room) || !lease || find(order.run) != runs_.end()) {
-        report(entry, run_end::rejected, {}, now);
+    const auto reason = lease ? reason_to_reject(order) : "the target's clock is not known";
+    if (!reason.empty()) {
+        report(entry, run_end::rejected, {}, now, reason);
         return;
     }
     runs_.push_back(entry);
@@ -64,6 +61,22 @@
     list(bounds_.longest_lease / detail::lease_renewals, now);
 }
 
+std::string_view target_session::reason_to_reject(const start_run& order) const {
+    auto free = record_.capacity;
+    for (const auto& known : runs_) {
+        free -= known.room;
+    }
+    if (!usable()) {
+        return "the target takes no work now";
+    }
+    if (!free.holds(order.room)) {
+        return "no room left on the target";
+    }
+    return std::ranges::find(runs_, order.run, &run_entry::run) == runs_.end()
+               ? std::string_view{}
+               : "the run is known already";
+}
+
 bool target_session::stop(const run_key& key, core::time_ms now) {
     const auto entry = std::ranges::find(runs_, key, &run_entry::key);
     if (entry == runs_.end()) {
@@ -126,8 +139,8 @@
         retry_at_ = now + detail::retry_pause;
     }
     if (answer.clock_ms) {
-        // Counting from the arrival never takes the target's clock for later than it is, so no lease
-        // is longer than assumed here.
+        // Counting from the arrival never takes the target's clock for later than it is, so no
+        // lease is longer than assumed here.
         clock_ = answer.clock_ms;
         clock_at_ = now;
     }
@@ -146,7 +159,8 @@
         // The start may still be carried out: only a stop that is answered settles it.
         send_stop(*entry, now);
     } else {
-        finish(entry, run_end::rejected, now);
+        const bool is_unhealthy = answer.fault == call_fault::overloaded;
+        finish(entry, is_unhealthy ? run_end::declined : run_end::rejected, now, answer.reason);
     }
 }
 
@@ -249,8 +263,8 @@
         finish_all(run_end::lapsed, {}, now);
     }
     for (auto& entry : runs_) {
-        const bool unanswered = entry.state == phase::stopping &&
-                                now - entry.changed > detail::order_timeout;
+        const bool unanswered =
+            entry.state == phase::stopping && now - entry.changed > detail::order_timeout;
         if (unanswered) {
             send_stop(entry, now);
         }
@@ -302,9 +316,9 @@
                               .request = std::move(request)});
 }
 
-void target_session::finish(std::vector<run_entry>::iterator entry, run_end end,
-                            core::time_ms now) {
-    report(*entry, end, {}, now);
+void target_session::finish(std::vector<run_entry>::iterator entry, run_end end, core::time_ms now,
+                            std::string_view reason) {
+    report(*entry, end, {}, now, reason);
     runs_.erase(entry);
 }
 
@@ -316,11 +330,12 @@
 }
 
 void target_session::report(const run_entry& entry, run_end end, core::duration_ms settled_in,
-                            core::time_ms now) {
+                            core::time_ms now, std::string_view reason) {
     if (entry.key) {
         effects_.reports.push_back({entry.key->scheduler, run_ended{.key = entry.key->number,
                                                                     .end = end,
                                                                     .ran_for = now - entry.started,
+                                                                    .reason = std::string{reason},
                                                                     .settled_in = settled_in}});
     }
 }
--- a/src/hawthornstall/runs/target_session.hpp
+++ b/src/hawthornstall/runs/target_session.hpp
@@ -101,10 +101,12 @@
     void note_fence(core::time_ms now);
     void list(core::duration_ms wait, core::time_ms now);
     void send_stop(run_entry& entry, core::time_ms now);
-    void finish(std::vector<run_entry>::iterator entry, run_end end, core::time_ms now);
+    void finish(std::vector<run_entry>::iterator entry, run_end end, core::time_ms now,
+                std::string_view reason = {});
     void finish_all(run_end end, core::duration_ms settled_in, core::time_ms now);
     void report(const run_entry& entry, run_end end, core::duration_ms settled_in,
-                core::time_ms now);
+                core::time_ms now, std::string_view reason = {});
+    [[nodiscard]] std::string_view reason_to_reject(const start_run& order) const;
     void call(target_request request, core::duration_ms timeout, core::time_ms now);
     [[nodiscard]] std::optional<std::int64_t> new_lease(core::time_ms now);
     [[nodiscard]] std::vector<run_entry>::iterator find(const run_name& run);
--- a/tests/hawthornstall/runs/job_desk_test.cpp
+++ b/tests/hawthornstall/runs/job_desk_test.cpp
@@ -77,9 +77,7 @@
     (void)desk.take_effects();
     const grant_run grant{
         .number = 1, .key = 9, .holder = "h", .target = "w-1", .step = 1, .index = 3, .run = 2};
-    desk.granted("other", grant);
-    CHECK(desk.take_effects().messages.empty());
-    desk.granted("s", grant);
+    CHECK(desk.granted("s", grant));
     const auto effects = desk.take_effects();
     REQUIRE(effects.messages.size() == 1);
     CHECK(effects.messages[0].host == "h");
@@ -91,5 +89,16 @@
     CHECK(order.run == run_name{.task = {"a", 1, 3}, .number = 2});
 }
 
+// Guards against a scheduler that was frozen, reads old submissions on waking and keeps granting
+// runs for jobs that were answered long ago: seen on the bench as 40 s without service.
+TEST_CASE("a grant for a job that is not open tells the scheduler to give it up") {
+    job_desk desk;
+    CHECK_FALSE(desk.granted("s", {.number = 61, .key = 9, .holder = "h", .target = "w-1"}));
+    const auto effects = desk.take_effects();
+    REQUIRE(effects.messages.size() == 1);
+    CHECK(effects.messages[0].host == "s");
+    CHECK(std::get<cancel_job>(effects.messages[0].message).number == 61);
+}
+
 } // namespace
 } // namespace hawthornstall::runs
--- a/tests/hawthornstall/runs/job_scheduler_test.cpp
+++ b/tests/hawthornstall/runs/job_scheduler_test.cpp
@@ -294,5 +294,25 @@
     CHECK(failures <= 4);
 }
 
+// Guards against a begun job whose grants are never used and that takes room for ever.
+TEST_CASE("a begun job ends long after its deadline") {
+    scheduler_bench bench{2};
+    bench.submit(make_job("a", 1, duration_ms{60}));
+    for (int round = 0; round < 200 && !bench.scheduler.idle(); ++round) {
+        bench.now += duration_ms{200};
+        bench.settle();
+        if (bench.stops.size() > 0) {
+            const auto key = bench.stops.back().key;
+            bench.stops.clear();
+            bench.end(key, run_end::rejected);
+        }
+        bench.scheduler.report("holder", {.targets = {make_target("w-0")}}, bench.now);
+    }
+    CHECK(bench.scheduler.idle());
+    CHECK(bench.now < start_time + duration_ms{20'000});
+    REQUIRE(bench.answers.size() == 1);
+    CHECK(bench.answers[0].result == job_result::lost);
+}
+
 } // namespace
 } // namespace hawthornstall::runs
--- a/tests/hawthornstall/runs/room_pool_test.cpp
+++ b/tests/hawthornstall/runs/room_pool_test.cpp
@@ -78,5 +78,61 @@
     CHECK(place->target == "b");
 }
 
+struct health_case {
+    std::string_view name;
+    run_end end;
+    bool ejects = false;
+};
+
+// Guards against targets that are shut out although their holders, and not they, turned runs down,
+// and against targets that fail everything and stay in use.
+TEST_CASE("only a target's own failures count against it") {
+    constexpr std::array cases{
+        health_case{"failed", run_end::failed, true},
+        health_case{"lease ended", run_end::lapsed, true},
+        health_case{"unhealthy", run_end::declined, true},
+        health_case{"turned down by its holder", run_end::rejected, false},
+        health_case{"stopped", run_end::stopped, false},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        room_pool pool;
+        target_report report;
+        for (int index = 0; index < 10; ++index) {
+            report.targets.push_back(make_target("w-" + std::to_string(index), 64'000, {}));
+        }
+        pool.report("h", report, start_time);
+        for (int run = 0; run < 3; ++run) {
+            pool.learn("w-0", item.end, core::duration_ms{60}, core::duration_ms{60}, start_time);
+        }
+        pool.report("h", report, start_time);
+        job_step step;
+        step.room = {.cpu_millis = 64'000};
+        std::size_t free = 0;
+        for (; const auto place = pool.pick({.service = "restock", .step = &step}, start_time);
+             ++free) {
+            pool.reserve(place->target, step.room);
+        }
+        CHECK(free == (item.ejects ? 9 : 10));
+        constexpr core::duration_ms longest{60'000};
+        pool.readmit(start_time + longest);
+        CHECK(pool.pick({.service = "restock", .step = &step}, start_time + longest).has_value() ==
+              item.ejects);
+    }
+}
+
+// Guards against a target that is offered again and again while its holder turns everything down.
+TEST_CASE("a target whose holder turned a run down waits for the next report") {
+    room_pool pool;
+    const target_report report{.targets = {make_target("a", 64'000, {})}};
+    pool.report("h", report, start_time);
+    job_step step;
+    step.room = {.cpu_millis = 27'000};
+    pool.learn("a", run_end::rejected, {}, {}, start_time);
+    CHECK_FALSE(pool.pick({.service = "restock", .step = &step}, start_time).has_value());
+    pool.report("h", report, start_time);
+    CHECK(pool.pick({.service = "restock", .step = &step}, start_time).has_value());
+}
+
 } // namespace
 } // namespace hawthornstall::runs
