Pass jobs of which no run was ordered on to the next scheduler

Cause: with the scheduler all its jobs were lost, also those that had only waited; every order goes through the front end, so it knows which have not run.

--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -243,7 +243,7 @@
         hosts_.unreachable(peer);
         holder_.scheduler_unreachable(peer, now());
         scheduler_.host_unreachable(peer, now());
-        desk_.host_unreachable(peer, now());
+        desk_.host_unreachable(peer, hosts_.scheduler(), now());
     }
     flush_soon();
 }
--- a/src/hawthornstall/runs/job_desk.cpp
+++ b/src/hawthornstall/runs/job_desk.cpp
@@ -17,29 +17,26 @@
                     const std::optional<std::string>& scheduler, core::time_ms now) {
     const auto number = ++last_number_;
     const auto give_up_at = now + job.terms.deadline + detail::late_answer_limit;
-    auto submitted = job;
-    submitted.specification.clear();
-    const auto position =
-        open_
-            .emplace(number, open_job{.request = request,
-                                      .job = std::move(job),
-                                      .scheduler = scheduler.value_or(std::string{}),
-                                      .arrived = now,
-                                      .give_up_at = give_up_at})
-            .first;
+    const auto position = open_
+                              .emplace(number, open_job{.request = request,
+                                                        .job = std::move(job),
+                                                        .scheduler = scheduler.value_or(""),
+                                                        .arrived = now,
+                                                        .give_up_at = give_up_at})
+                              .first;
     if (scheduler) {
-        effects_.messages.push_back(
-            {*scheduler, submit_job{.number = number, .job = std::move(submitted)}});
+        submit(number, position->second, now);
     } else {
-        finish(position,
-               {.number = number,
-                .result = job_result::refused,
-                .retry_after = detail::no_scheduler_retry,
-                .reason = "no host schedules jobs now"},
-               now);
+        give_up(position, scheduler, now);
     }
 }
 
+void job_desk::submit(std::uint64_t number, const open_job& job, core::time_ms now) {
+    submit_job message{.number = number, .job = job.job, .age = now - job.arrived};
+    message.job.specification.clear();
+    effects_.messages.push_back({job.scheduler, std::move(message)});
+}
+
 bool job_desk::granted(std::string_view scheduler, const grant_run& grant) {
     const auto position = open_.find(grant.number);
     if (position == open_.end() || position->second.scheduler != scheduler ||
@@ -48,6 +45,7 @@
         return false;
     }
     const auto& job = position->second.job;
+    position->second.ordered = true;
     effects_.messages.push_back(
         {grant.holder,
          start_run{.scheduler = std::string{scheduler},
@@ -81,16 +79,37 @@
     }
 }
 
-void job_desk::host_unreachable(std::string_view host, core::time_ms now) {
+void job_desk::host_unreachable(std::string_view host, const std::optional<std::string>& next,
+                                core::time_ms now) {
     for (auto position = open_.begin(); position != open_.end();) {
-        position = position->second.scheduler != host
-                       ? std::next(position)
-                       : finish(position,
-                                {.number = position->first,
-                                 .result = job_result::lost,
-                                 .reason = "the scheduler cannot be reached"},
-                                now);
+        position =
+            position->second.scheduler == host ? give_up(position, next, now) : std::next(position);
+    }
+}
+
+/// Every order for a run goes through this host, so a job without one has not run.
+job_desk::open_map::iterator job_desk::give_up(open_map::iterator position,
+                                               const std::optional<std::string>& next,
+                                               core::time_ms now) {
+    auto& job = position->second;
+    if (job.ordered) {
+        return finish(position,
+                      {.number = position->first,
+                       .result = job_result::lost,
+                       .reason = "the scheduler cannot be reached"},
+                      now);
+    }
+    if (!next) {
+        return finish(position,
+                      {.number = position->first,
+                       .result = job_result::refused,
+                       .retry_after = detail::no_scheduler_retry,
+                       .reason = "no host schedules jobs now"},
+                      now);
     }
+    job.scheduler = *next;
+    submit(position->first, job, now);
+    return std::next(position);
 }
 
 void job_desk::tick(core::time_ms now) {
--- a/src/hawthornstall/runs/job_desk.hpp
+++ b/src/hawthornstall/runs/job_desk.hpp
@@ -46,8 +46,10 @@
     /// The caller has closed its connection.
     void caller_left(std::uint64_t request, core::time_ms now);
 
-    /// Jobs at a scheduler that cannot be reached are lost: the caller may submit them again.
-    void host_unreachable(std::string_view host, core::time_ms now);
+    /// Jobs at a scheduler that cannot be reached go to `next` if none of their runs was ordered,
+    /// and are lost otherwise: the caller may submit those again.
+    void host_unreachable(std::string_view host, const std::optional<std::string>& next,
+                          core::time_ms now);
 
     /// Gives up jobs long after their deadline.
     void tick(core::time_ms now);
@@ -63,10 +65,14 @@
         std::string scheduler{};
         core::time_ms arrived{};
         core::time_ms give_up_at{};
+        bool ordered = false; ///< A run has been ordered from a holder.
     };
 
     using open_map = std::map<std::uint64_t, open_job>;
 
+    void submit(std::uint64_t number, const open_job& job, core::time_ms now);
+    open_map::iterator give_up(open_map::iterator position, const std::optional<std::string>& next,
+                               core::time_ms now);
     open_map::iterator finish(open_map::iterator position, const job_ended& end, core::time_ms now);
 
     open_map open_; ///< By the number of the job.
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -51,7 +51,7 @@
         return;
     }
     auto& job = jobs_[message.job.id];
-    job = make_job_record(message.job, now);
+    job = make_job_record(message.job, now - message.age);
     job.number = ++last_number_;
     job.waiters.push_back(waiter);
     const auto reason = reason_to_refuse(job, now);
--- a/src/hawthornstall/runs/run_layouts.hpp
+++ b/src/hawthornstall/runs/run_layouts.hpp
@@ -44,7 +44,8 @@
 };
 
 template <> struct layout<runs::submit_job> {
-    static constexpr auto members = std::tuple{&runs::submit_job::number, &runs::submit_job::job};
+    using type = runs::submit_job;
+    static constexpr auto members = std::tuple{&type::number, &type::job, &type::age};
 };
 
 template <> struct layout<runs::cancel_job> {
--- a/src/hawthornstall/runs/run_messages.hpp
+++ b/src/hawthornstall/runs/run_messages.hpp
@@ -18,6 +18,7 @@
 struct submit_job {
     std::uint64_t number = 0;
     job_request job{};
+    core::duration_ms age{}; ///< Since the caller's request arrived.
 };
 
 /// Scheduler to front end: order a run from the holder of a target.
