--- a/src/hawthornstall/control/control_service.hpp
+++ b/src/hawthornstall/control/control_service.hpp
@@ -149,7 +149,7 @@
         push_delta(std::string{host}, subscribers_[std::string{host}]);
     }
 
-    void handle_entry(std::string_view /*host*/, discovery::host_hello message,
+    void handle_entry(std::string_view /*host*/, const discovery::host_hello& message,
                       core::time_ms /*now*/) {
         relay_.hello(message.host);
     }
--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -141,7 +141,7 @@
 }
 
 template <dispatch_codec Codec>
-void dispatch_host<Codec>::serve(std::uint64_t request, job_request job) {
+void dispatch_host<Codec>::serve(std::uint64_t request, job_request&& job) {
     const auto scheduler = hosts_.scheduler();
     report_({.name = "job_submitted",
              .id = job.id,
--- a/src/hawthornstall/runs/dispatch_host.hpp
+++ b/src/hawthornstall/runs/dispatch_host.hpp
@@ -57,7 +57,7 @@
     void take(const seeds_changed& change);
 
     void take_call(const net::http_request& request);
-    void serve(std::uint64_t request, job_request job);
+    void serve(std::uint64_t request, job_request&& job);
     void serve(std::uint64_t request, const count_question& question);
     void serve(std::uint64_t request, const job_question& question);
     void send_answer(std::uint64_t request, const caller_answer& answer);
--- a/src/hawthornstall/runs/job_record.hpp
+++ b/src/hawthornstall/runs/job_record.hpp
@@ -5,9 +5,9 @@
 #include "hawthornstall/core/ms_clock.hpp"
 #include "hawthornstall/runs/job.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace hawthornstall::runs {
@@ -17,7 +17,10 @@
     std::string host{};
     std::uint64_t number = 0; ///< The front end's number of the job.
 
-    auto operator<=>(const job_waiter&) const = default;
+    bool operator==(const job_waiter&) const = default;
+    bool operator<(const job_waiter& other) const {
+        return std::tie(host, number) < std::tie(other.host, other.number);
+    }
 };
 
 /// State of one task.
--- a/src/hawthornstall/runs/run_types.hpp
+++ b/src/hawthornstall/runs/run_types.hpp
@@ -5,10 +5,10 @@
 #include "hawthornstall/core/ms_clock.hpp"
 #include "hawthornstall/core/room.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace hawthornstall::runs {
 
@@ -18,7 +18,10 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
-    auto operator<=>(const task_name&) const = default;
+    bool operator==(const task_name&) const = default;
+    bool operator<(const task_name& other) const {
+        return std::tie(job, step, index) < std::tie(other.job, other.step, other.index);
+    }
 };
 
 /// Names one start of a task; the number grows with each start.
@@ -26,7 +29,10 @@
     task_name task{};
     std::uint32_t number = 0;
 
-    auto operator<=>(const run_name&) const = default;
+    bool operator==(const run_name&) const = default;
+    bool operator<(const run_name& other) const {
+        return std::tie(task, number) < std::tie(other.task, other.number);
+    }
 };
 
 /// Names a run among the orders of all schedulers.
@@ -34,7 +40,10 @@
     std::string scheduler{}; ///< Host that ordered it.
     std::uint64_t number = 0;
 
-    auto operator<=>(const run_key&) const = default;
+    bool operator==(const run_key&) const = default;
+    bool operator<(const run_key& other) const {
+        return std::tie(scheduler, number) < std::tie(other.scheduler, other.number);
+    }
 };
 
 /// How a run ended.
--- /dev/null
+++ b/tests/hawthornstall/settings/seeded_settings_test.cpp
@@ -0,0 +1,63 @@
+#include "hawthornstall/settings/seeded_settings.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <string>
+#include <string_view>
+
+namespace hawthornstall::settings {
+namespace {
+
+const std::string good =
+    R"({"name": "entry-1", "zone": "bilbao", "ip": "10.1.0.13", "cpu_share": 0.25,)"
+    R"( "control_peer_port": 7720, "entry_peer_port": 7721, "seeds": ["10.1.0.16:8166"],)"
+    R"( "caller_address": "10.1.0.13:8161", "readiness_address": "10.1.0.13:8167",)"
+    R"( "longest_lease_ms": 1000, "stop_time_ms": 50, "shutdown_grace_s": 6})";
+
+// Guards against a value that is lost between the settings and the program.
+TEST_CASE("settings of a host that finds the others by itself are read whole") {
+    const auto settings = parse_seeded_settings(good);
+    REQUIRE(settings.ok());
+    CHECK(settings->name == "entry-1");
+    CHECK(settings->zone == "bilbao");
+    CHECK(settings->cpu_share == doctest::Approx(0.25));
+    CHECK(settings->seeds == std::vector<socket_address>{{"10.1.0.16", 8166}});
+    CHECK(settings->caller_address == socket_address{"10.1.0.13", 8161});
+    CHECK_FALSE(settings->operator_address.has_value());
+    CHECK_FALSE(settings->may_found);
+    CHECK(settings->longest_lease == core::duration_ms{1'000});
+    CHECK(settings->shutdown_grace_s == doctest::Approx(6.0));
+}
+
+struct faulty_case {
+    std::string_view from;
+    std::string_view to;
+    std::string_view path; ///< Named in the error.
+};
+
+// Guards against a host that starts with a value that it cannot work with.
+TEST_CASE("a faulty value is refused with its path") {
+    constexpr std::array cases{
+        faulty_case{R"("10.1.0.16:8166")", R"("10.1.0.16")", "$.seeds[0]"},
+        faulty_case{R"("entry_peer_port": 7721)", R"("entry_peer_port": 7720)",
+                    "$.entry_peer_port"},
+        faulty_case{R"("control_peer_port": 7720)", R"("control_peer_port": 70000)",
+                    "$.control_peer_port"},
+        faulty_case{R"("longest_lease_ms": 1000)", R"("longest_lease_ms": 0)",
+                    "$.longest_lease_ms"},
+        faulty_case{R"("cpu_share": 0.25)", R"("cpu_share": 0)", "$.cpu_share"},
+        faulty_case{R"("stop_time_ms")", R"("stop_tme_ms")", "$.stop_tme_ms"},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.to);
+        auto text = good;
+        text.replace(text.find(item.from), item.from.size(), item.to);
+        const auto settings = parse_seeded_settings(text);
+        REQUIRE_FALSE(settings.ok());
+        CHECK(std::string{settings.status().message()}.find(item.path) != std::string::npos);
+    }
+}
+
+} // namespace
+} // namespace hawthornstall::settings
