--- a/tests/hawthornstall/settings/seeded_settings_test.cpp
+++ b/tests/hawthornstall/settings/seeded_settings_test.cpp
@@ -41,7 +41,7 @@
     constexpr std::array cases{
         faulty_case{R"("10.1.0.16:8166")", R"("10.1.0.16")", "$.seeds[0]"},
         faulty_case{R"("entry_peer_port": 7721)", R"("entry_peer_port": 7720)",
-                    "$.entry_peer_port"},
+                    "$.control_peer_port"},
         faulty_case{R"("control_peer_port": 7720)", R"("control_peer_port": 70000)",
                     "$.control_peer_port"},
         faulty_case{R"("longest_lease_ms": 1000)", R"("longest_lease_ms": 0)",
