--- a/src/hawthornstall/net/peer_links.cpp
+++ b/src/hawthornstall/net/peer_links.cpp
@@ -136,7 +136,11 @@
         if (silent && std::exchange(target.reachable, false)) {
             on_state_(name, false);
         }
-        if (silent && now - target.last_replaced > self_.silent_after) {
+        // The first connection attempt gets lost when the peer's machine starts a moment later, and
+        // TCP repeats it only after a second.
+        const auto patience =
+            target.last_heard == core::time_ms{} ? self_.ping_every : self_.silent_after;
+        if (silent && now - target.last_replaced > patience) {
             replace(target, now);
             ++counters_.links_replaced;
         }
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -371,9 +371,4 @@
     }
 }
 
-std::size_t job_scheduler::waiting() const {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(jobs_, [](const auto& item) { return !item.second.started; }));
-}
-
 } // namespace hawthornstall::runs
--- a/src/hawthornstall/runs/job_scheduler.hpp
+++ b/src/hawthornstall/runs/job_scheduler.hpp
@@ -50,9 +50,6 @@
     /// Whether no job is left.
     [[nodiscard]] bool idle() const noexcept { return jobs_.empty(); }
 
-    /// Jobs of which no task has started.
-    [[nodiscard]] std::size_t waiting() const;
-
 private:
     struct run_order {
         std::string job{};
--- a/tests/hawthornstall/net/peer_links_test.cpp
+++ b/tests/hawthornstall/net/peer_links_test.cpp
@@ -117,5 +117,63 @@
     CHECK(first.states == std::vector<bool>{true, false, true});
 }
 
+// Guards against a link that waits for the system's own retry of a connection attempt that got lost
+// while the peer's machine was starting.
+TEST_CASE("a peer that was never heard is dialled again after each ping interval") {
+    runtime::event_loop loop;
+    const auto addresses = testing::free_addresses<2>();
+    peer_links links{loop,
+                     {.name = "first",
+                      .incarnation = 1,
+                      .listen_address = addresses[0],
+                      .ping_every = core::duration_ms{20},
+                      .silent_after = time_limit},
+                     [](std::string_view, std::uint64_t, std::string_view) {},
+                     [](std::string_view, bool) {
+                     }};
+    const std::array peers{peer_endpoint{.name = "second", .address = addresses[1]}};
+    REQUIRE(links.start(peers).ok());
+    const auto end = loop.after(core::duration_ms{400}, [&] { loop.stop(); });
+    loop.run();
+    CHECK(links.counters().links_replaced >= 3);
+}
+
+// Guards against a restarted peer that is taken for its predecessor, with which all that it knew is
+// gone.
+TEST_CASE("a peer that restarts within the silence limit is reported as lost and back") {
+    runtime::event_loop loop;
+    const auto addresses = testing::free_addresses<2>();
+    node first{loop, "first", addresses[0]};
+    const auto link_to = [](std::string name, std::string address) {
+        return std::array{peer_endpoint{.name = std::move(name), .address = std::move(address)}};
+    };
+    const auto make_second = [&](std::uint64_t incarnation) {
+        auto second = std::make_unique<peer_links>(
+            loop,
+            peer_links::identity{
+                .name = "second", .incarnation = incarnation, .listen_address = addresses[1]},
+            [](std::string_view, std::uint64_t, std::string_view) {},
+            [](std::string_view, bool) {});
+        REQUIRE(second->start(link_to("first", addresses[0])).ok());
+        return second;
+    };
+    auto second = make_second(1);
+    REQUIRE(first.links.start(link_to("second", addresses[1])).ok());
+    runtime::event_handle restart;
+    first.on_state = [&] {
+        if (first.states.size() == 1) {
+            restart = loop.after(core::duration_ms{0}, [&] {
+                second.reset();
+                second = make_second(2);
+            });
+        } else if (first.states.size() == 3) {
+            loop.stop();
+        }
+    };
+    const auto limit = loop.after(time_limit, [&] { loop.stop(); });
+    loop.run();
+    CHECK(first.states == std::vector<bool>{true, false, true});
+}
+
 } // namespace
 } // namespace hawthornstall::net
--- a/tests/hawthornstall/runs/target_session_test.cpp
+++ b/tests/hawthornstall/runs/target_session_test.cpp
@@ -246,7 +246,6 @@
             const auto delay = std::uniform_int_distribution<int>{300, 12'000}(random_);
             late_.push_back({now_ + duration_ms{delay}, call, true});
             late_.push_back({now_ + call.timeout, call, false});
-            lost_.push_back(call.number);
             return;
         }
         session.answered(call.number, worker_.carry_out(call, now_), now_);
@@ -275,7 +274,6 @@
     fake_worker worker_;
     std::uint64_t key_ = 0;
     std::vector<late_call> late_;
-    std::vector<std::uint64_t> lost_;
 };
 
 // Guards against room that is given out twice when orders are carried out long after their time
