--- a/src/hawthornstall/runs/target_holder.cpp
+++ b/src/hawthornstall/runs/target_holder.cpp
@@ -12,6 +12,13 @@
 /// Pause before a target that another holder took over is claimed again.
 constexpr core::duration_ms fenced_pause{1'000};
 
+/// A target that has not answered its claim for this long cannot be reached from here.
+constexpr core::duration_ms claim_patience{700};
+
+/// Pause before an unreachable target is claimed again. After a cut its holder in its own zone
+/// shows that it is alive in the meantime; an earlier claim would end the work that runs there.
+constexpr core::duration_ms unreachable_pause{3'000};
+
 /// Reports to the schedulers are due at multiples of this when something has changed.
 constexpr core::duration_ms report_interval{100};
 
@@ -131,7 +138,9 @@
         }
         const auto id = record.id;
         const auto place = sessions_.emplace(
-            id, held_session{target_session{std::move(record), tokens_.next(wall), bounds_, now}});
+            id, held_session{
+                    .session = target_session{std::move(record), tokens_.next(wall), bounds_, now},
+                    .since = now});
         effects_.held_changed = true;
         collect(place.first->second.session);
     }
@@ -149,10 +158,14 @@
         held.released =
             hosts.self().leaving || record == nullptr ||
             hosts.preferred_holder(id, held.session.record().zone) != hosts.self().host.name;
+        const bool is_unreachable =
+            !held.session.claimed() && now - held.since > detail::claim_patience;
         if (held.session.fenced()) {
             retry_at_[id] = now + detail::fenced_pause;
+        } else if (is_unreachable) {
+            retry_at_[id] = now + detail::unreachable_pause;
         }
-        if (held.session.fenced() || (held.released && held.session.idle())) {
+        if (held.session.fenced() || is_unreachable || (held.released && held.session.idle())) {
             position = sessions_.erase(position);
             effects_.held_changed = true;
         } else {
--- a/src/hawthornstall/runs/target_holder.hpp
+++ b/src/hawthornstall/runs/target_holder.hpp
@@ -79,6 +79,7 @@
 
     struct held_session {
         target_session session;
+        core::time_ms since{}; ///< When the claim began.
         bool released = false; ///< Takes no new runs; given up once it is idle.
     };
 
--- a/src/hawthornstall/runs/target_session.hpp
+++ b/src/hawthornstall/runs/target_session.hpp
@@ -55,6 +55,9 @@
     /// Whether new runs may be started.
     [[nodiscard]] bool usable() const noexcept;
 
+    /// Whether the target has listed its runs to this holder.
+    [[nodiscard]] bool claimed() const noexcept { return claimed_; }
+
     /// Whether another holder has taken the target over.
     [[nodiscard]] bool fenced() const noexcept { return fenced_; }
 
--- a/tests/hawthornstall/runs/target_holder_test.cpp
+++ b/tests/hawthornstall/runs/target_holder_test.cpp
@@ -146,5 +146,26 @@
     CHECK(view.scheduler() == "a");
 }
 
+// Guards against a claim that reaches a target as soon as a cut between zones has healed and ends
+// the work of the holder on the other side, before that holder shows that it is alive.
+TEST_CASE("a target that cannot be reached is claimed rarely") {
+    const host_view hosts{make_host("a", "bilbao")};
+    discovery::target_roster roster;
+    roster.announce(make_record(1, "oviedo"), start_time);
+    target_holder holder{{}, 1, start_time};
+    int claims = 0;
+    for (auto now = start_time; now < start_time + duration_ms{10'000}; now += duration_ms{50}) {
+        const auto held_before = holder.held().size();
+        holder.tick(roster, hosts, now, wall_time);
+        claims += holder.held().size() > held_before ? 1 : 0;
+        for (const auto& call : holder.take_effects().calls) {
+            holder.answered(call.target, call.number,
+                            {.fault = call_fault::unanswered, .reason = "silent"}, now);
+        }
+    }
+    CHECK(claims >= 2);
+    CHECK(claims <= 3);
+}
+
 } // namespace
 } // namespace hawthornstall::runs
