--- a/tools/load/load_run.hpp
+++ b/tools/load/load_run.hpp
@@ -15,12 +15,16 @@
 #include <cmath>
 #include <cstdint>
 #include <functional>
+#include <iostream>
 #include <memory>
 #include <string>
 #include <utility>
 
 namespace hawthornstall::tools {
 
+/// Bytes of an answer that cannot be read that are shown.
+constexpr std::size_t shown_bytes = 200;
+
 /// One run on an event loop; calls back once when every job has ended.
 template <job_size_source Sizes> class load_run {
 public:
@@ -138,15 +142,22 @@
         const auto authorization = "Bearer " + settings_.token;
         const std::array headers{net::http_header{"Authorization", authorization},
                                  net::http_header{"Content-Type", "application/json"}};
-        const auto sent = client_.send({.address = settings_.hosts.at(job->host),
-                                        .path = path,
-                                        .headers = headers,
-                                        .body = job->body,
-                                        .timeout = settings_.deadline + settings_.patience,
-                                        .idempotent = settings_.idempotent},
-                                       [this, job](const net::exchange_result& result) {
-                                           receive(job, judge(job->request, result));
-                                       });
+        const auto sent =
+            client_.send({.address = settings_.hosts.at(job->host),
+                          .path = path,
+                          .headers = headers,
+                          .body = job->body,
+                          .timeout = settings_.deadline + settings_.patience,
+                          .idempotent = settings_.idempotent},
+                         [this, job](const net::exchange_result& result) {
+                             const auto end = judge(job->request, result);
+                             if (end == verdict::unreadable) {
+                                 std::cout << "unreadable answer of " << settings_.hosts[job->host]
+                                           << ": status " << result.status << ", "
+                                           << result.body.substr(0, shown_bytes) << '\n';
+                             }
+                             receive(job, end);
+                         });
         if (!sent.ok()) {
             finish(*job, verdict::not_sent);
         }
