--- a/src/hawthornstall/runs/job_order.hpp
+++ b/src/hawthornstall/runs/job_order.hpp
@@ -10,6 +10,16 @@
 
 namespace hawthornstall::runs {
 
+/// Time that a job takes once it starts. Declared run times are off by half, so a job that starts
+/// with no more than its declared time left is most likely late, and takes the room of one that
+/// would be in time.
+[[nodiscard]] inline core::duration_ms expected_time(const job_record& job) {
+    constexpr double margin = 1.3;
+    constexpr core::duration_ms way_there_and_back{15};
+    const auto stretched = margin * static_cast<double>(job.chain.count());
+    return way_there_and_back + core::duration_ms{static_cast<core::duration_ms::rep>(stretched)};
+}
+
 /// Jobs with pending tasks. Those that have begun come first, since their callers wait for the
 /// whole; then those that can still meet their objective, and last those that are late, each by
 /// objective. The jobs must outlive their places.
@@ -33,9 +43,10 @@
     void update(job_record& job, core::time_ms now) {
         erase(job);
         if (!job.ending && job.pending_tasks > 0) {
-            const auto level = job.started                 ? urgency::begun
-                               : now + job.chain > job.due ? urgency::late
-                                                           : urgency::in_time;
+            const bool is_late = now + expected_time(job) > job.due;
+            const auto level = job.started ? urgency::begun
+                               : is_late   ? urgency::late
+                                           : urgency::in_time;
             job.level = static_cast<std::uint8_t>(level);
             job.is_ordered = true;
             places_.insert({level, job.due, job.number, &job});
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -64,6 +64,10 @@
 }
 
 std::string_view job_scheduler::reason_to_refuse(const job_record& job, core::time_ms now) const {
+    if (!pool_.is_settled(now)) {
+        // A new scheduler does not know the room yet, so it refuses only what no room would help.
+        return is_hopeless(job, now) ? "the deadline would pass before the end" : "";
+    }
     const bool fits = std::ranges::all_of(job.request.steps, [&](const job_step& step) {
         return pool_.could_hold(job.request.terms.service, step);
     });
@@ -266,13 +270,25 @@
             continue;
         }
         place_tasks(*job, unmet, now);
-        const bool turns_late = !job->started && now + job->chain > job->due;
-        if (job->started || turns_late) {
-            order_.update(*job, now);
+        if (turns_late(*job, now)) {
+            // Jobs that arrive from now on come before it as well.
+            constexpr int later_arrivals = 2;
+            if (is_hopeless(*job, now + later_arrivals * expected_wait(*job))) {
+                start_ending(*job, job_result::refused,
+                             "late, and the jobs before it take longer than its deadline", now);
+                finish_if_over(*job, now);
+                continue;
+            }
         }
+        order_.update(*job, now);
     }
 }
 
+bool job_scheduler::turns_late(const job_record& job, core::time_ms now) {
+    return !job.started && now + expected_time(job) > job.due &&
+           job.level == static_cast<std::uint8_t>(job_order::urgency::in_time);
+}
+
 void job_scheduler::place_tasks(job_record& job, std::vector<unmet_need>& unmet,
                                 core::time_ms now) {
     for (std::size_t index = 0; index < job.tasks.size(); ++index) {
--- a/src/hawthornstall/runs/job_scheduler.hpp
+++ b/src/hawthornstall/runs/job_scheduler.hpp
@@ -66,6 +66,7 @@
     [[nodiscard]] bool is_hopeless(const job_record& job, core::time_ms now) const;
     [[nodiscard]] core::duration_ms expected_wait(const job_record& job) const;
     [[nodiscard]] std::string_view reason_to_refuse(const job_record& job, core::time_ms now) const;
+    [[nodiscard]] static bool turns_late(const job_record& job, core::time_ms now);
     void place_tasks(job_record& job, std::vector<unmet_need>& unmet, core::time_ms now);
     [[nodiscard]] bool place_task(job_record& job, std::size_t index, core::time_ms now);
     void stop_overdue(core::time_ms now);
--- a/src/hawthornstall/runs/room_pool.cpp
+++ b/src/hawthornstall/runs/room_pool.cpp
@@ -18,6 +18,9 @@
 /// A single run may not move the slowness further than this.
 constexpr double largest_ratio = 8.0;
 
+/// Holders report to a new scheduler within this time.
+constexpr core::duration_ms settle_time{1'000};
+
 bool has_label(const held_target& target, std::string_view label) {
     return label.empty() || std::ranges::find(target.labels, label) != target.labels.end();
 }
@@ -28,8 +31,8 @@
 
 } // namespace detail
 
-void room_pool::report(const std::string& holder, const target_report& report,
-                       core::time_ms /*now*/) {
+void room_pool::report(const std::string& holder, const target_report& report, core::time_ms now) {
+    first_report_ = first_report_.value_or(now);
     std::set<std::string_view> named;
     for (const auto& target : report.targets) {
         named.insert(target.id);
@@ -172,6 +175,10 @@
            " at their limit after failures, " + std::to_string(ejected) + " ejected";
 }
 
+bool room_pool::is_settled(core::time_ms now) const {
+    return first_report_ && now - *first_report_ > detail::settle_time;
+}
+
 bool room_pool::could_hold(std::string_view service, const job_step& step) const {
     return std::ranges::any_of(targets_, [&](const auto& entry) {
         const auto& target = entry.second.target;
--- a/src/hawthornstall/runs/room_pool.hpp
+++ b/src/hawthornstall/runs/room_pool.hpp
@@ -56,6 +56,9 @@
     /// What the pool knows, for logs: targets known, usable, ejected and with room for `room`.
     [[nodiscard]] std::string describe(const core::room& room) const;
 
+    /// Whether all holders have had the time to report since the first one did.
+    [[nodiscard]] bool is_settled(core::time_ms now) const;
+
     /// Whether any known target of the service could ever hold a task of `step`.
     [[nodiscard]] bool could_hold(std::string_view service, const job_step& step) const;
 
@@ -80,6 +83,7 @@
 
     std::map<std::string, pooled_target, std::less<>> targets_;
     std::map<std::string, std::int64_t, std::less<>> usable_cpu_; ///< By service.
+    std::optional<core::time_ms> first_report_;
 };
 
 } // namespace hawthornstall::runs
--- a/tests/hawthornstall/runs/job_scheduler_test.cpp
+++ b/tests/hawthornstall/runs/job_scheduler_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -50,6 +51,8 @@
             report.targets.push_back(make_target("w-" + std::to_string(index)));
         }
         scheduler.report("holder", report, now);
+        // By then all holders are known to have reported.
+        now += duration_ms{1'500};
     }
 
     void submit(job_request job, const std::string& home = "home") {
@@ -314,5 +317,61 @@
     CHECK(bench.answers[0].result == job_result::lost);
 }
 
+// Pattern: a burst beyond the room, in which every job starts at the last moment and ends late.
+// Guards against serving all jobs late where half of them can be in time.
+TEST_CASE("under overload the jobs that start still end in time") {
+    scheduler_bench bench{2};
+    struct running_task {
+        std::uint64_t key = 0;
+        std::uint64_t job = 0;
+        core::time_ms end{};
+    };
+    std::vector<running_task> running;
+    std::map<std::uint64_t, core::time_ms> arrived;
+    std::size_t granted = 0;
+    int in_time = 0;
+    int late = 0;
+    for (int step = 0; step < 1'000; ++step) {
+        bench.now += duration_ms{5};
+        // Four tasks of 100 ms fit at once, and six arrive in that time.
+        if (step % 3 == 0) {
+            bench.submit(make_job("j" + std::to_string(step), 1, duration_ms{100}));
+            arrived[bench.last_number] = bench.now;
+        }
+        const auto due = std::ranges::stable_partition(
+            running, [&](const running_task& task) { return task.end > bench.now; });
+        const std::vector<running_task> ended{due.begin(), due.end()};
+        running.erase(due.begin(), due.end());
+        for (const auto& task : ended) {
+            const bool is_in_time = bench.now - arrived.at(task.job) <= duration_ms{220};
+            ++(is_in_time ? in_time : late);
+            bench.end(task.key, run_end::done);
+        }
+        bench.settle();
+        for (; granted < bench.starts.size(); ++granted) {
+            const auto& start = bench.starts[granted];
+            running.push_back({start.key, start.number, bench.now + duration_ms{120}});
+        }
+    }
+    // Room for 166 runs of 120 ms; nearly all of it must go to jobs in time.
+    CHECK(in_time >= 140);
+    CHECK(late <= 15);
+}
+
+// Guards against refusals by a scheduler that has just started and has not heard of the targets.
+TEST_CASE("a new scheduler keeps jobs until the holders have reported") {
+    job_scheduler scheduler;
+    auto now = start_time;
+    scheduler.submit("home", {.number = 1, .job = make_job("a", 1, duration_ms{60})}, now);
+    scheduler.place(now);
+    CHECK(scheduler.take_effects().messages.empty());
+    now += duration_ms{300};
+    scheduler.report("holder", {.targets = {make_target("w-0")}}, now);
+    scheduler.place(now);
+    const auto effects = scheduler.take_effects();
+    REQUIRE(effects.messages.size() == 1);
+    CHECK(std::holds_alternative<grant_run>(effects.messages[0].message));
+}
+
 } // namespace
 } // namespace hawthornstall::runs
