Count no speed once no target is in service

Cause: the sum of speeds is kept by adding and subtracting, and the rest of rounding errors counted as speed when the last target left. Test: 'without targets in service there is no speed', -1.2e-14 before, 0 after.

--- a/src/hawthornstall/scheduling/target_pool.hpp
+++ b/src/hawthornstall/scheduling/target_pool.hpp
@@ -282,6 +282,7 @@
             free_.remove(id, positions_);
             --free_count_;
         }
+        const auto previous_bucket = position.bucket;
         bucket_speed_[position.bucket] -= target.counted_speed;
         bucket_slots_[position.bucket] -= target.counted_slots;
         usable_slots_ -= target.counted_slots;
@@ -296,6 +297,11 @@
         bucket_slots_[bucket] += target.counted_slots;
         usable_slots_ += target.counted_slots;
         usable_speed_ += target.counted_speed;
+        // Adding and subtracting leaves a rest of rounding errors, which is no speed.
+        for (const auto touched : {previous_bucket, bucket}) {
+            bucket_speed_[touched] = bucket_slots_[touched] == 0 ? 0.0 : bucket_speed_[touched];
+        }
+        usable_speed_ = usable_slots_ == 0 ? 0.0 : usable_speed_;
         if (free && !position.place) {
             free_.add(id, bucket, positions_);
             ++free_count_;
--- a/tests/hawthornstall/scheduling/target_pool_test.cpp
+++ b/tests/hawthornstall/scheduling/target_pool_test.cpp
@@ -136,5 +136,23 @@
     CHECK(pool.usable_slots() == 4);
 }
 
+// Guards against a rest of rounding errors that counts as speed once no target is in service: the
+// expected wait divided by it was 700,000 years, and the refusal could not be read.
+TEST_CASE("without targets in service there is no speed") {
+    for (const double speed : {0.3, 0.7, 1.0, 1.7, 2.9}) {
+        CAPTURE(speed);
+        pool_type pool{core::task_shape{}, ejection_rules{}};
+        const auto targets = add_targets(pool, 12);
+        for (std::size_t index = 0; index < targets.size(); ++index) {
+            teach_speed(pool, targets[index], speed + 0.1 * static_cast<double>(index));
+        }
+        for (std::size_t index = 0; index < targets.size(); ++index) {
+            pool.upsert("target-" + std::to_string(index), {.slots = 8}, false);
+        }
+        CHECK(pool.usable_slots() == 0);
+        CHECK(pool.usable_speed() == 0.0);
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::scheduling
