--- a/tests/hawthornstall/runs/job_scheduler_test.cpp
+++ b/tests/hawthornstall/runs/job_scheduler_test.cpp
@@ -304,7 +304,7 @@
     for (int round = 0; round < 200 && !bench.scheduler.idle(); ++round) {
         bench.now += duration_ms{200};
         bench.settle();
-        if (bench.stops.size() > 0) {
+        if (!bench.stops.empty()) {
             const auto key = bench.stops.back().key;
             bench.stops.clear();
             bench.end(key, run_end::rejected);
@@ -338,10 +338,11 @@
             bench.submit(make_job("j" + std::to_string(step), 1, duration_ms{100}));
             arrived[bench.last_number] = bench.now;
         }
-        const auto due = std::ranges::stable_partition(
-            running, [&](const running_task& task) { return task.end > bench.now; });
-        const std::vector<running_task> ended{due.begin(), due.end()};
-        running.erase(due.begin(), due.end());
+        const auto due =
+            std::stable_partition(running.begin(), running.end(),
+                                  [&](const running_task& task) { return task.end > bench.now; });
+        const std::vector<running_task> ended{due, running.end()};
+        running.erase(due, running.end());
         for (const auto& task : ended) {
             const bool is_in_time = bench.now - arrived.at(task.job) <= duration_ms{220};
             ++(is_in_time ? in_time : late);
--- a/tests/hawthornstall/runs/room_pool_test.cpp
+++ b/tests/hawthornstall/runs/room_pool_test.cpp
@@ -80,7 +80,7 @@
 
 struct health_case {
     std::string_view name;
-    run_end end;
+    run_end end = run_end::failed;
     bool ejects = false;
 };
 
--- a/tests/platform/job_codec_test.cpp
+++ b/tests/platform/job_codec_test.cpp
@@ -119,7 +119,7 @@
 }
 
 struct answer_case {
-    runs::job_result result;
+    runs::job_result result = runs::job_result::lost;
     int status = 0;
 };
 
