Renew a dropped subscription to the configuration with the next hello

Ruled out: clock steps (the copy uses the steady clock), lost deltas while the link is up (the digest shows them). Test: 'a hello renews a subscription that was dropped', version 0 before, 7 after.

--- a/src/hawthornstall/control/control_service.hpp
+++ b/src/hawthornstall/control/control_service.hpp
@@ -152,6 +152,13 @@
     void handle_entry(std::string_view /*host*/, const discovery::host_hello& message,
                       core::time_ms /*now*/) {
         relay_.hello(message.host);
+        // A host that was silent has lost its subscription, which it does not notice when it has
+        // heard this host all the while.
+        if (!subscribers_.contains(message.host.name)) {
+            auto& revision = subscribers_[message.host.name];
+            revision = message.config_revision;
+            push_delta(message.host.name, revision);
+        }
     }
 
     template <class Request>
--- a/src/hawthornstall/discovery/layouts.hpp
+++ b/src/hawthornstall/discovery/layouts.hpp
@@ -26,7 +26,8 @@
 };
 
 template <> struct layout<discovery::host_hello> {
-    static constexpr auto members = std::tuple{&discovery::host_hello::host};
+    using type = discovery::host_hello;
+    static constexpr auto members = std::tuple{&type::host, &type::config_revision};
 };
 
 template <> struct layout<discovery::host_list> {
--- a/src/hawthornstall/discovery/messages.hpp
+++ b/src/hawthornstall/discovery/messages.hpp
@@ -5,6 +5,7 @@
 #include "hawthornstall/discovery/host_record.hpp"
 #include "hawthornstall/discovery/target_record.hpp"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,8 @@
 /// Sent by each entry host to each control host that it knows, about once a second.
 struct host_hello {
     host_record host{};
+    /// Revision of the configuration up to which the sender has applied every change.
+    std::uint64_t config_revision = 0;
 };
 
 /// The hosts that a control host hears from.
--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -233,7 +233,7 @@
     if (is_control_host(peer)) {
         if (reachable) {
             subscribe(peer, documents_.revision());
-            send_control(peer, discovery::host_hello{options_.host});
+            send_control(peer, discovery::host_hello{options_.host, documents_.revision()});
         }
         return;
     }
@@ -371,7 +371,7 @@
     hello_due_ = now() + detail::hello_interval;
     for (const auto& name : links_->reachable_peers()) {
         if (is_control_host(name)) {
-            send_control(name, discovery::host_hello{options_.host});
+            send_control(name, discovery::host_hello{options_.host, documents_.revision()});
         }
     }
 }
--- a/tests/hawthornstall/control/control_service_test.cpp
+++ b/tests/hawthornstall/control/control_service_test.cpp
@@ -191,6 +191,23 @@
     }
 }
 
+// Guards against an entry host that serves with an old configuration for good: it was frozen, its
+// subscription was dropped meanwhile, and it never noticed that it had been silent.
+TEST_CASE("a hello renews a subscription that was dropped") {
+    service_cluster cluster;
+    const discovery::host_hello hello{.host = {.name = "entry-1", .zone = "a"},
+                                      .config_revision = 0};
+    cluster.services[0].receive_from_entry("entry-1", config_subscribe{}, cluster.now);
+    cluster.services[0].entry_unreachable("entry-1");
+    cluster.services[1].receive_from_entry(
+        "entry-2", numbered_request{1, {.version = 7, .content = "seven"}}, cluster.now);
+    cluster.run_for(core::duration_ms{200});
+    CHECK(cluster.copy.numbered().version == 0);
+    cluster.services[0].receive_from_entry("entry-1", hello, cluster.now);
+    cluster.run_for(core::duration_ms{200});
+    CHECK(cluster.copy.numbered().version == 7);
+}
+
 // Guards against a read from a control host that does not know of newer changes.
 TEST_CASE("a cut-off control host confirms no read") {
     for (const bool is_leader : {true, false}) {
