--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -248,110 +248,6 @@
     flush_soon();
 }
 
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply(std::string_view host, const control::config_delta& delta) {
-    (void)documents_.apply(delta);
-    const auto& config = documents_.numbered();
-    if (config.version <= routes_.version) {
-        return;
-    }
-    auto routes = codec_.decode_routes(config.content);
-    if (!routes.ok()) {
-        report_({.level = core::log_level::error,
-                 .name = "config_not_decoded",
-                 .peer = std::string{host},
-                 .detail = core::describe(routes.status())});
-        return;
-    }
-    routes_ = std::move(*routes);
-    routes_.version = config.version;
-    report_({.name = "config_in_force",
-             .peer = std::string{host},
-             .detail = "version " + std::to_string(routes_.version)});
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply(std::string_view host, const control::config_digest& digest) {
-    const auto outcome = documents_.check(digest, now());
-    if (outcome == control::digest_outcome::behind) {
-        subscribe(host, documents_.revision());
-    } else if (outcome == control::digest_outcome::differs) {
-        subscribe(host, 0);
-    }
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply(std::string_view /*host*/, const discovery::host_list& list) {
-    for (const auto& host : list.entry_hosts) {
-        links_->add({.name = host.name, .address = host.name});
-    }
-    take(seeds_changed{list.control_hosts});
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply(std::string_view /*host*/, const discovery::target_news& news) {
-    for (const auto& record : news.targets) {
-        roster_.announce(record, now());
-    }
-    for (const auto& record : news.left) {
-        roster_.leave(record, now());
-    }
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::deliver(const std::string& from, run_message message) {
-    std::visit([&](auto& content) { apply_run(from, std::move(content)); }, message);
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply_run(const std::string& from, submit_job&& message) {
-    scheduler_.submit(from, message, now());
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply_run(const std::string& from, const cancel_job& message) {
-    scheduler_.cancel(from, message, now());
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply_run(const std::string& from, const job_ended& message) {
-    desk_.ended(from, message, now());
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply_run(const std::string& /*from*/, const start_run& message) {
-    holder_.start(message, now());
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply_run(const std::string& from, const grant_run& message) {
-    if (!desk_.granted(from, message)) {
-        report_({.name = "grant_ignored",
-                 .peer = from,
-                 .detail = "no open job has number " + std::to_string(message.number)});
-    }
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply_run(const std::string& from, const stop_run& message) {
-    holder_.stop(from, message, now());
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply_run(const std::string& /*from*/, const run_ended& message) {
-    scheduler_.run_over(message, now());
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply_run(const std::string& from, const target_report& message) {
-    scheduler_.report(from, message, now());
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::apply_run(const std::string& /*from*/, const host_presence& message) {
-    hosts_.present(message);
-}
-
 template <dispatch_codec Codec> void dispatch_host<Codec>::tick() {
     const auto time = now();
     roster_.tick(time);
@@ -511,3 +407,5 @@
 }
 
 } // namespace hawthornstall::runs
+
+#include "hawthornstall/runs/detail/dispatch_host_messages.hpp"
