Log claims of targets, runs found on them and stops without an answer

On-call engineers could not tell which host had claimed a target, which runs it found there, or which call to a target had failed: a trace of two runs of one task showed three calls without an answer and nothing about what they were for.

--- a/src/hawthornstall/runs/target_call.hpp
+++ b/src/hawthornstall/runs/target_call.hpp
@@ -53,6 +53,12 @@
     return names.at(request.index());
 }
 
+/// Name of the call in log records.
+[[nodiscard]] constexpr std::string_view call_name(const target_request& request) {
+    constexpr std::array<std::string_view, 3> names{"start", "stop", "listing"};
+    return names.at(request.index());
+}
+
 /// The end of a run, as a target lists it.
 struct listed_end {
     std::uint64_t number = 0; ///< Grows within one incarnation of the target.
--- a/src/hawthornstall/runs/target_holder.cpp
+++ b/src/hawthornstall/runs/target_holder.cpp
@@ -219,6 +219,9 @@
     for (auto& report : effects.reports) {
         effects_.messages.push_back({std::move(report.scheduler), report.ended});
     }
+    for (auto& event : effects.events) {
+        effects_.events.push_back({session.record().id, std::move(event)});
+    }
 }
 
 holder_effects target_holder::take_effects() {
--- a/src/hawthornstall/runs/target_holder.hpp
+++ b/src/hawthornstall/runs/target_holder.hpp
@@ -47,10 +47,17 @@
     std::uint64_t skip_s_ = first_skip_s;
 };
 
-/// Calls to make and messages to send, collected since the last take_effects().
+/// An event of a session with the target that it concerns.
+struct target_event {
+    std::string target{};
+    session_event event{};
+};
+
+/// Calls to make, messages to send and events to log, collected since the last take_effects().
 struct holder_effects {
     std::vector<target_call> calls;
     std::vector<addressed_message> messages;
+    std::vector<target_event> events;
     bool held_changed = false; ///< The list of held targets differs from before.
 };
 
--- a/src/hawthornstall/runs/target_session.cpp
+++ b/src/hawthornstall/runs/target_session.cpp
@@ -63,6 +63,7 @@
         return;
     }
     runs_.push_back(entry);
+    log_run("run_start_sent", entry);
     send_call(start_call{message.run, message.specification, *lease}, detail::start_stop_timeout,
               now);
     request_listing(bounds_.longest_lease / detail::long_polls_per_lease, now);
@@ -187,8 +188,10 @@
         entry->state = phase::stop_confirmed;
         entry->state_since = now;
         request_listing(core::duration_ms{0}, now);
+    } else {
+        // tick() repeats the stop.
+        log_run("run_stop_unanswered", *entry);
     }
-    // tick() repeats a stop that was not answered.
 }
 
 void target_session::handle(const list_call& /*request*/, const pending_call& call,
@@ -222,7 +225,9 @@
     }
     stop_unknown_runs(listing, now);
     end_missing_runs(listing, sent, now);
-    claimed_ = true;
+    if (!std::exchange(claimed_, true)) {
+        log_target("target_claimed");
+    }
 }
 
 /// Stops listed runs of an earlier lease holder, since nobody waits for them any more.
@@ -230,6 +235,7 @@
     for (const auto& run : listing.running) {
         if (find(run) == runs_.end()) {
             runs_.push_back({.key = std::nullopt, .run = run, .resources = {}, .started = now});
+            log_run("earlier_run_found", runs_.back());
             send_stop(runs_.back(), now);
         }
     }
@@ -270,6 +276,7 @@
 /// start elsewhere only after the longest time that either takes.
 void target_session::handle_fenced(core::time_ms now) {
     fenced_ = true;
+    log_target("target_fenced");
     finish_all(run_end::lost, lease_upper_bound(bounds_.longest_lease) + bounds_.stop_time, now);
 }
 
@@ -280,6 +287,7 @@
     // No run survives the last lease, and the target rejects a delayed start whose lease has
     // expired.
     if (!reachable_ && !runs_.empty() && now > leases_expired_at_) {
+        log_target("leases_expired");
         finish_all(run_end::lapsed, {}, now);
     }
     for (auto& entry : runs_) {
@@ -364,6 +372,22 @@
     }
 }
 
+void target_session::log_run(std::string_view what, const run_entry& entry) {
+    auto detail = "run " + std::to_string(entry.run.number) + " of task " +
+                  std::to_string(entry.run.task.step) + '.' + std::to_string(entry.run.task.index);
+    if (entry.key) {
+        detail += ", key " + std::to_string(entry.key->number) + " of " + entry.key->scheduler;
+    }
+    effects_.events.push_back({what, entry.run.task.job, std::move(detail)});
+}
+
+void target_session::log_target(std::string_view what) {
+    effects_.events.push_back({what,
+                               {},
+                               "token " + std::to_string(token_) + ", " +
+                                   std::to_string(runs_.size()) + " runs on the target"});
+}
+
 std::vector<target_session::run_entry>::iterator target_session::find(const run_name& run) {
     return std::ranges::find(runs_, run, &run_entry::run);
 }
--- a/src/hawthornstall/runs/target_session.hpp
+++ b/src/hawthornstall/runs/target_session.hpp
@@ -22,10 +22,18 @@
     run_ended ended{};
 };
 
-/// Calls to make and ends to report, collected since the last take_effects().
+/// A change of the session, or a call without the expected outcome, to be logged.
+struct session_event {
+    std::string_view what{}; ///< For example "target_claimed".
+    std::string job{};       ///< Id of the job concerned, if any.
+    std::string detail{};
+};
+
+/// Calls to make, ends to report and events to log, collected since the last take_effects().
 struct session_effects {
     std::vector<target_call> calls{};
     std::vector<session_report> reports{};
+    std::vector<session_event> events{};
 };
 
 /// Renews the lease of one target and starts, stops and tracks the runs on it. Does no I/O. A run
@@ -124,6 +132,8 @@
     void finish_all(run_end end, core::duration_ms restart_delay, core::time_ms now);
     void report(const run_entry& entry, run_end end, core::duration_ms restart_delay,
                 core::time_ms now, std::string_view reason = {});
+    void log_run(std::string_view what, const run_entry& entry);
+    void log_target(std::string_view what);
     [[nodiscard]] std::string_view reason_to_reject(const start_run& message) const;
     void send_call(target_request request, core::duration_ms timeout, core::time_ms now);
     [[nodiscard]] std::optional<std::int64_t> new_lease(core::time_ms now);
