Let both ends of a link learn that it was lost

A job is answered as lost when its front end or its scheduler cannot reach the other, or the scheduler a lease holder, and the caller submits it again soon after. That is safe only if the other end stops the runs, but it did so only when it lost the link itself. With packet loss or a short freeze one direction can be silent for 700 ms while the other one works; a connection that is reset loses messages that neither end misses.

Each envelope now carries the session of its sender, which counts how often it has lost the link, and the number of data messages in that session. The receiver reports the peer as unreachable and reachable again when the peer has started a new session or a message is missing; a missing message also starts a new session, which tells the peer. Messages that arrive after later ones, on a connection that was replaced, are ignored.

The new cases of peer_links_test fail before the change in four of five rows and in the case of the late peer (states {true} instead of {true, false, true}, told session 0 instead of 1); net_test passes after it: 23 of 23.

--- a/src/hawthornstall/net/peer_envelope.hpp
+++ b/src/hawthornstall/net/peer_envelope.hpp
@@ -23,6 +23,8 @@
     std::uint64_t incarnation = 0; ///< Start time of the sending process, wall-clock ms.
     envelope_kind kind = envelope_kind::ping;
     std::string body;
+    std::uint64_t session = 0;  ///< How often the sender has lost the link to the receiver.
+    std::uint64_t sequence = 0; ///< Number of data messages sent in this session, with this one.
 };
 
 } // namespace hawthornstall::net
@@ -35,8 +37,9 @@
 
 template <> struct layout<net::peer_envelope> {
     static constexpr auto members =
-        std::tuple{&net::peer_envelope::sender, &net::peer_envelope::incarnation,
-                   &net::peer_envelope::kind, &net::peer_envelope::body};
+        std::tuple{&net::peer_envelope::sender,  &net::peer_envelope::incarnation,
+                   &net::peer_envelope::kind,    &net::peer_envelope::body,
+                   &net::peer_envelope::session, &net::peer_envelope::sequence};
 };
 
 } // namespace hawthornstall::wire
--- a/src/hawthornstall/net/peer_links.cpp
+++ b/src/hawthornstall/net/peer_links.cpp
@@ -112,15 +112,10 @@
         return;
     }
     auto& sender_link = *sender;
-    sender_link.last_heard = now;
-    const auto previous_incarnation = std::exchange(sender_link.incarnation, envelope->incarnation);
-    if (previous_incarnation != 0 && previous_incarnation != envelope->incarnation &&
-        sender_link.reachable) {
-        // The peer restarted within the silence limit and has lost its state. The handler must see
-        // it as unreachable before it is reported as reachable again.
-        sender_link.reachable = false;
-        on_state_(envelope->sender, false);
+    if (!accept(sender_link, *envelope)) {
+        return;
     }
+    sender_link.last_heard = now;
     if (!std::exchange(sender_link.reachable, true)) {
         on_state_(envelope->sender, true);
     }
@@ -138,6 +133,36 @@
     }
 }
 
+bool peer_links::accept(link& sender_link, const peer_envelope& envelope) {
+    const auto verdict = sender_link.received.check({.incarnation = envelope.incarnation,
+                                                     .session = envelope.session,
+                                                     .sequence = envelope.sequence},
+                                                    envelope.kind == envelope_kind::data);
+    if (verdict == stream_verdict::outdated) {
+        ++counters_.outdated;
+        return false;
+    }
+    if (verdict == stream_verdict::in_order || !sender_link.reachable) {
+        return true;
+    }
+    ++counters_.interrupted;
+    if (verdict == stream_verdict::resumed) {
+        // The peer has started a session already; an answer with a new one would interrupt it too.
+        sender_link.reachable = false;
+        on_state_(envelope.sender, false);
+    } else {
+        lose(sender_link, envelope.sender);
+    }
+    return true;
+}
+
+void peer_links::lose(link& peer_link, std::string_view name) {
+    peer_link.reachable = false;
+    ++peer_link.session;
+    peer_link.sequence = 0;
+    on_state_(name, false);
+}
+
 peer_links::link* peer_links::find_or_add_sender(std::string_view name) {
     auto found = links_.find(name);
     if (found == links_.end() && self_.accept_unlisted && parse_socket_address(name).ok()) {
@@ -151,8 +176,9 @@
     const auto now = core::ms_clock::now();
     for (auto& [name, peer_link] : links_) {
         const bool silent = now - peer_link.last_heard > self_.silent_after;
-        if (silent && std::exchange(peer_link.reachable, false)) {
-            on_state_(name, false);
+        if (silent && peer_link.reachable) {
+            peer_link.received.reset();
+            lose(peer_link, name);
         }
         // The first connection attempt is lost if the peer's machine is still starting, and TCP
         // retransmits it only after a second.
@@ -192,10 +218,14 @@
 }
 
 absl::Status peer_links::send_envelope(link& peer_link, envelope_kind kind, std::string_view body) {
+    // A data message that cannot be queued is counted too, so that the peer notices its loss.
+    peer_link.sequence += kind == envelope_kind::data ? 1 : 0;
     const auto bytes = wire::encode(peer_envelope{.sender = self_.name,
                                                   .incarnation = self_.incarnation,
                                                   .kind = kind,
-                                                  .body = std::string{body}});
+                                                  .body = std::string{body},
+                                                  .session = peer_link.session,
+                                                  .sequence = peer_link.sequence});
     auto status = peer_link.socket->send(bytes);
     if (status.ok()) {
         peer_link.last_sent = core::ms_clock::now();
--- a/src/hawthornstall/net/peer_links.hpp
+++ b/src/hawthornstall/net/peer_links.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
 /// Links between the system's own processes: nng push/pull sockets with an additional liveness
-/// check, because nng keeps an unresponsive TCP connection open forever.
+/// check, because nng keeps an unresponsive TCP connection open forever. Both ends learn of a lost
+/// link: a process that drops its share of some joint work because it lost a peer relies on the
+/// peer to do the same.
 
 #include "hawthornstall/core/ms_clock.hpp"
 #include "hawthornstall/net/nng_socket.hpp"
 #include "hawthornstall/net/peer_envelope.hpp"
+#include "hawthornstall/net/stream_check.hpp"
 #include "hawthornstall/runtime/event_loop.hpp"
 
 #include <absl/status/status.h>
@@ -43,6 +46,8 @@
     std::uint64_t links_replaced = 0;     ///< Sockets replaced by the liveness check.
     std::uint64_t sockets_not_closed = 0; ///< Replaced sockets that did not close in time.
     std::uint64_t malformed = 0;          ///< Undecodable, or from a sender that may not link.
+    std::uint64_t outdated = 0;           ///< Arrived after later messages and were ignored.
+    std::uint64_t interrupted = 0;        ///< Times that messages of a reachable peer were lost.
 };
 
 /// The links of one process, owned by one event-loop task and accessed only by it.
@@ -65,7 +70,9 @@
     /// Receives the sender's name and incarnation and the message body.
     using message_handler = std::function<void(std::string_view, std::uint64_t, std::string_view)>;
 
-    /// Called when a peer becomes reachable (true) or unreachable (false).
+    /// Called when a peer becomes reachable (true) or unreachable (false). A peer that restarts,
+    /// that has lost the link to this process, or whose messages were lost becomes unreachable and
+    /// at once reachable again.
     using state_handler = std::function<void(std::string_view, bool)>;
 
     peer_links(runtime::event_loop& loop, identity self, message_handler on_message,
@@ -99,7 +106,9 @@
         core::time_ms last_heard{};
         core::time_ms last_replaced{};
         core::time_ms last_sent{};
-        std::uint64_t incarnation = 0; ///< In the peer's last message; 0 before the first.
+        std::uint64_t session = 0;  ///< How often this process has lost the link.
+        std::uint64_t sequence = 0; ///< Data messages sent in this session.
+        stream_check received;
         bool reachable = false;
     };
 
@@ -107,6 +116,11 @@
     void receive_pending();
     /// Updates the liveness of the sender and answers a ping or passes data on.
     void handle_message(std::uint32_t pipe, std::string_view bytes);
+    /// Checks the place of a message in its stream and reports an interrupted link. Returns whether
+    /// the message may be used.
+    [[nodiscard]] bool accept(link& sender_link, const peer_envelope& envelope);
+    /// Marks the peer as unreachable and starts a new session, which tells the peer.
+    void lose(link& peer_link, std::string_view name);
     /// The sender's link, added if unlisted senders are accepted; null if it may not link.
     [[nodiscard]] link* find_or_add_sender(std::string_view name);
     /// Updates reachability, replaces sockets of unresponsive peers and sends the pings.
--- a/tests/hawthornstall/net/peer_links_test.cpp
+++ b/tests/hawthornstall/net/peer_links_test.cpp
@@ -1,5 +1,6 @@
 #include "hawthornstall/core/error.hpp"
 #include "hawthornstall/net/peer_links.hpp"
+#include "hawthornstall/wire/codec.hpp"
 #include "support/loopback.hpp"
 
 #include <doctest/doctest.h>
@@ -193,6 +194,123 @@
     CHECK(first.states == std::vector<bool>{true, false, true});
 }
 
+/// A peer that the test plays message by message, and the last session that it was told.
+class scripted_peer {
+public:
+    scripted_peer(runtime::event_loop& loop, const std::string& own_address,
+                  std::string_view peer_address) {
+        REQUIRE(listener_.listen_pull(own_address).ok());
+        REQUIRE(dialer_.dial_push(peer_address).ok());
+        received_ = loop.on_readable(listener_.receive_descriptor(), [this] {
+            while (const auto message = listener_.receive()) {
+                const auto envelope = wire::decode<peer_envelope>(message->body());
+                REQUIRE(envelope.ok());
+                told_session = envelope->session;
+            }
+        });
+    }
+
+    void send(envelope_kind kind, std::uint64_t session, std::uint64_t sequence) {
+        REQUIRE(dialer_
+                    .send(wire::encode(peer_envelope{.sender = "peer",
+                                                     .incarnation = 1,
+                                                     .kind = kind,
+                                                     .body = std::to_string(sequence),
+                                                     .session = session,
+                                                     .sequence = sequence}))
+                    .ok());
+    }
+
+    std::uint64_t told_session = 0;
+
+private:
+    detail::nng_socket_handle listener_;
+    detail::nng_socket_handle dialer_;
+    runtime::event_handle received_;
+};
+
+struct scripted_message {
+    envelope_kind kind = envelope_kind::data;
+    std::uint64_t session = 0;
+    std::uint64_t sequence = 0;
+};
+
+struct interruption_case {
+    std::string_view name;
+    std::vector<scripted_message> messages;
+    std::vector<bool> states;
+    std::vector<std::string> received;
+    std::uint64_t told_session = 0; ///< What the peer has been told at the end.
+};
+
+// Guards against a link that only one side knows to be lost: that side gives up the work that both
+// share, and the other one goes on with it.
+TEST_CASE("both sides learn that a link was interrupted") {
+    using kind = envelope_kind;
+    const std::array cases{
+        interruption_case{"nothing is lost",
+                          {{kind::ping, 0, 0}, {kind::data, 0, 1}, {kind::ping, 0, 1}},
+                          {true},
+                          {"peer:1"},
+                          0},
+        interruption_case{"the peer lost the link",
+                          {{kind::data, 0, 1}, {kind::unheard_ping, 1, 0}, {kind::data, 1, 1}},
+                          {true, false, true},
+                          {"peer:1", "peer:1"},
+                          0},
+        interruption_case{"a message was lost",
+                          {{kind::data, 0, 1}, {kind::data, 0, 3}},
+                          {true, false, true},
+                          {"peer:1", "peer:3"},
+                          1},
+        interruption_case{"the last message was lost",
+                          {{kind::data, 0, 1}, {kind::ping, 0, 2}},
+                          {true, false, true},
+                          {"peer:1"},
+                          1},
+        interruption_case{"a message of an earlier session arrives late",
+                          {{kind::data, 1, 1}, {kind::data, 0, 9}, {kind::data, 1, 2}},
+                          {true},
+                          {"peer:1", "peer:2"},
+                          0},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        runtime::event_loop loop;
+        const auto addresses = testing::free_addresses<2>();
+        node self{loop, "self", addresses[0]};
+        REQUIRE(self.links.start(std::array{peer_endpoint{"peer", addresses[1]}}).ok());
+        scripted_peer peer{loop, addresses[1], addresses[0]};
+        for (const auto& message : item.messages) {
+            peer.send(message.kind, message.session, message.sequence);
+        }
+        // Two ping intervals, so that the peer is told.
+        const auto end = loop.after(2 * ping_interval, [&] { loop.stop(); });
+        loop.run();
+        CHECK(self.states == item.states);
+        CHECK(self.received == item.received);
+        CHECK(peer.told_session == item.told_session);
+    }
+}
+
+// Guards against a peer that never learns that this side has counted it as lost, because its
+// messages were late and not lost.
+TEST_CASE("a peer that was silent for too long is told so") {
+    runtime::event_loop loop;
+    const auto addresses = testing::free_addresses<2>();
+    node self{loop, "self", addresses[0]};
+    REQUIRE(self.links.start(std::array{peer_endpoint{"peer", addresses[1]}}).ok());
+    scripted_peer peer{loop, addresses[1], addresses[0]};
+    peer.send(envelope_kind::data, 0, 1);
+    const auto late = loop.after(silence_limit + 2 * ping_interval,
+                                 [&] { peer.send(envelope_kind::data, 0, 2); });
+    const auto end = loop.after(silence_limit + 4 * ping_interval, [&] { loop.stop(); });
+    loop.run();
+    CHECK(self.states == std::vector<bool>{true, false, true});
+    CHECK(self.received == std::vector<std::string>{"peer:1", "peer:2"});
+    CHECK(peer.told_session == 1);
+}
+
 // Guards against pings of many peers that wake a process at as many different times. The links
 // start in the second half of a second; their pings are due in the first half of each second.
 TEST_CASE("pings are sent at multiples of their interval on the wall clock") {
