Number each submission of a job to a scheduler separately

Cause: the front end kept one number for a job while the job moved from one scheduler to another and back, and numbers began at 1 again in a new process. A delayed job_ended or grant_run of an earlier submission was therefore taken for one of the present submission. A job that the scheduler still had got the same waiter twice, or a waiter of a submission that the front end had given up, and its grants went there.

Every submission now has a number of its own, which counts up from the incarnation of the process as run keys do. Moving a job ends the earlier submission: its grants are answered with cancel_job and its results are ignored. submit_job also carries the number of the first submission for the same request, so that the scheduler replaces a waiter whose cancel was lost and stops the runs that were granted to it. A submission that was overtaken by a later one is ignored. Every start is sent by the front end, and a job with a started run does not move, so run_started holds for all submissions of a job; a refusal after a started run is now answered as lost.

One line of an existing test, "a job moves to the next scheduler unless a run of it was started", expected that the next scheduler grants with the number of the first submission; it takes the number from the second submission now and checks the same.

New events: grant_accepted, job_resubmitted and result_ignored.

--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -32,9 +32,10 @@
 /// The shutdown ends this long before the grace time is over and the process would be killed.
 constexpr core::duration_ms exit_margin{300};
 
-/// Upper limit of runs per millisecond on one host. Run keys count up from the incarnation times
-/// this, so two processes of a host never use the same key.
-constexpr std::uint64_t runs_per_ms = 1'000;
+/// Upper limit of runs, and of submissions of jobs, per millisecond on one host. Run keys and
+/// numbers of submissions count up from the incarnation times this, so two processes of a host
+/// never use the same one.
+constexpr std::uint64_t numbers_per_ms = 1'000;
 
 } // namespace detail
 
@@ -42,7 +43,8 @@
 dispatch_host<Codec>::dispatch_host(dispatch_options options, observer report)
     : options_(std::move(options)), report_(std::move(report)),
       hosts_({.host = options_.host, .leaving = false, .held_targets = {}}),
-      scheduler_(options_.self.incarnation * detail::runs_per_ms),
+      front_end_(options_.self.incarnation * detail::numbers_per_ms),
+      scheduler_(options_.self.incarnation * detail::numbers_per_ms),
       holder_(options_.bounds, options_.host_bits, core::ms_clock::now()) {}
 
 template <dispatch_codec Codec> void dispatch_host<Codec>::attach(runtime::event_loop& loop) {
@@ -293,6 +295,12 @@
         }
         route(held.messages);
         auto answered = front_end_.take_effects();
+        for (const auto& event : answered.events) {
+            report_({.name = event.what,
+                     .id = event.job,
+                     .peer = event.scheduler,
+                     .detail = event.detail});
+        }
         for (const auto& answer : answered.answers) {
             answer_caller(answer);
         }
--- a/src/hawthornstall/runs/detail/dispatch_host_messages.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_messages.hpp
@@ -102,11 +102,7 @@
 
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::on_run_message(const std::string& from, const grant_run& message) {
-    if (!front_end_.granted(from, message)) {
-        report_({.name = "grant_ignored",
-                 .peer = from,
-                 .detail = "no open job has number " + std::to_string(message.number)});
-    }
+    (void)front_end_.granted(from, message);
 }
 
 template <dispatch_codec Codec>
--- a/src/hawthornstall/runs/job_front_end.hpp
+++ b/src/hawthornstall/runs/job_front_end.hpp
@@ -23,28 +23,44 @@
     core::duration_ms age{}; ///< Since the request arrived.
 };
 
-/// Messages to send and callers to answer, collected since the last take_effects().
+/// A decision on a submission or a message about one, to be logged.
+struct front_end_event {
+    std::string_view what{}; ///< For example "grant_accepted".
+    std::string job{};       ///< Id of the job; empty if the submission is not open any more.
+    std::string scheduler{}; ///< Host that schedules the job or has sent the message.
+    std::string detail{};
+};
+
+/// Messages to send, callers to answer and events to log, collected since the last take_effects().
 struct front_end_effects {
     std::vector<addressed_message> messages{};
     std::vector<job_answer> answers{};
+    std::vector<front_end_event> events{};
 };
 
 /// Submits jobs to the scheduler, passes granted runs on to lease holders and answers the callers.
-/// Does no I/O. Each request that is opened gets exactly one answer.
+/// Does no I/O. Each request that is opened gets exactly one answer. Each submission has a number
+/// of its own that is not used again, so that messages of an earlier submission are not taken for
+/// those of a later one.
 class job_front_end {
 public:
+    /// Submissions count up from `first_number` + 1. `first_number` must be higher than all numbers
+    /// of earlier processes of this host, since schedulers may still have submissions of theirs.
+    explicit job_front_end(std::uint64_t first_number = 0) : last_number_(first_number) {}
+
     /// Submits a job whose request arrived at `arrived` to `scheduler`. Without a scheduler the job
     /// is refused.
     void open(std::uint64_t request, job_request job, const std::optional<std::string>& scheduler,
               core::time_ms arrived, core::time_ms now);
 
-    /// Sends a granted run to the lease holder of its target. A grant for a job that is not open
-    /// any more is ignored and the job cancelled at the scheduler: a scheduler that was suspended
-    /// may still process submissions that were answered long ago. Returns whether the grant was
-    /// used.
+    /// Sends a granted run to the lease holder of its target. A grant for a submission that is not
+    /// open any more is ignored and the submission cancelled at the scheduler: a scheduler that was
+    /// suspended may still process submissions that were answered long ago. Returns whether the
+    /// grant was used.
     bool granted(std::string_view scheduler, const grant_run& grant);
 
-    /// Answers the caller with the result of a job.
+    /// Answers the caller with the result of a job. The result of a submission that is not open any
+    /// more is ignored.
     void ended(std::string_view scheduler, const job_ended& message, core::time_ms now);
 
     /// Cancels the job of a caller that has closed its connection.
@@ -70,6 +86,7 @@
     /// A job whose caller waits for the answer.
     struct open_job {
         std::uint64_t request = 0;
+        std::uint64_t first_number = 0; ///< Number of its first submission.
         job_request job{};
         std::string scheduler{};
         core::time_ms arrived{};
@@ -79,14 +96,16 @@
 
     using open_map = std::map<std::uint64_t, open_job>;
 
-    void submit(std::uint64_t number, const open_job& job, core::time_ms now);
-    open_map::iterator reassign_or_finish(open_map::iterator position,
-                                          const std::optional<std::string>& next,
-                                          core::time_ms now);
+    void submit(const open_map::value_type& item, core::time_ms now);
+    void resubmit(open_map::iterator position, const std::string& next, core::time_ms now);
+    void reassign_or_finish(open_map::iterator position, const std::optional<std::string>& next,
+                            core::time_ms now);
+    [[nodiscard]] open_map::iterator find(std::string_view scheduler, std::uint64_t number);
+    [[nodiscard]] bool is_up_to(open_map::iterator position, std::uint64_t last);
     open_map::iterator finish(open_map::iterator position, const job_ended& end, core::time_ms now);
 
-    open_map open_; ///< By this front end's number of the job.
-    std::uint64_t last_number_ = 0;
+    open_map open_; ///< By the number of the present submission.
+    std::uint64_t last_number_;
     front_end_effects effects_;
 };
 
--- a/src/hawthornstall/runs/job_record.hpp
+++ b/src/hawthornstall/runs/job_record.hpp
@@ -12,12 +12,15 @@
 
 namespace hawthornstall::runs {
 
-/// A front end that waits for the result of a job.
+/// A front end that waits for the result of a job; identified by host and number.
 struct job_waiter {
     std::string host{};
-    std::uint64_t number = 0; ///< The front end's number of the job.
+    std::uint64_t number = 0;       ///< Number of the submission.
+    std::uint64_t first_number = 0; ///< Number of the first submission for the same request.
 
-    bool operator==(const job_waiter&) const = default;
+    bool operator==(const job_waiter& other) const {
+        return std::tie(host, number) == std::tie(other.host, other.number);
+    }
     bool operator<(const job_waiter& other) const {
         return std::tie(host, number) < std::tie(other.host, other.number);
     }
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -56,14 +56,13 @@
 }
 
 void job_scheduler::submit(const std::string& host, const submit_job& message, core::time_ms now) {
-    const job_waiter waiter{host, message.number};
-    waiters_[waiter] = message.job.id;
+    const job_waiter waiter{host, message.number, message.first_number};
     const auto found = jobs_.find(message.job.id);
     if (found != jobs_.end()) {
-        // The job is submitted again while it is still in progress: both waiters get its result.
-        found->second.waiters.push_back(waiter);
+        add_waiter(found->second, waiter);
         return;
     }
+    waiters_[waiter] = message.job.id;
     auto& job = jobs_[message.job.id];
     job = make_job_record(message.job, now - message.age);
     job.number = ++last_number_;
@@ -79,6 +78,30 @@
     queue.pending.update(job, now);
 }
 
+/// Adds a waiter to a job that is in progress; all its waiters get the result. A submission
+/// replaces earlier ones for the same request, whose cancel_job may be lost or still on its way.
+void job_scheduler::add_waiter(job_record& job, const job_waiter& waiter) {
+    const auto earlier = std::ranges::find_if(job.waiters, [&](const job_waiter& other) {
+        return other.host == waiter.host && other.first_number == waiter.first_number;
+    });
+    if (earlier == job.waiters.end()) {
+        job.waiters.push_back(waiter);
+        waiters_[waiter] = job.request.id;
+        return;
+    }
+    // Messages on an old and a new connection may overtake each other.
+    if (waiter.number <= earlier->number) {
+        return;
+    }
+    waiters_.erase(*earlier);
+    waiters_[waiter] = job.request.id;
+    *earlier = waiter;
+    if (earlier == job.waiters.begin()) {
+        // The front end ignores the grants that were sent for the earlier submission.
+        stop_runs(job);
+    }
+}
+
 std::string_view job_scheduler::reason_to_refuse(const job_record& job, core::time_ms now) const {
     if (!knows_capacity(now)) {
         // The free capacity is not known yet, so only jobs that no capacity could save are refused.
--- a/src/hawthornstall/runs/job_scheduler.hpp
+++ b/src/hawthornstall/runs/job_scheduler.hpp
@@ -42,7 +42,8 @@
     explicit job_scheduler(std::uint64_t first_key = 0) : last_key_(first_key) {}
 
     /// Queues a job of the front end on `host`, or refuses it at once if it cannot be served. A job
-    /// whose id is known already gets one more waiter instead of a second execution.
+    /// whose id is known already gets one more waiter instead of a second execution, in place of an
+    /// earlier submission for the same request if there is one.
     void submit(const std::string& host, const submit_job& message, core::time_ms now);
 
     /// Removes a front end from the waiters of a job. The job ends when nobody waits for it.
@@ -118,6 +119,7 @@
                       core::time_ms now);
     void finish_if_complete(job_record& job, core::time_ms now);
     void answer(const job_record& job, core::time_ms now);
+    void add_waiter(job_record& job, const job_waiter& waiter);
     void remove_waiter(job_record& job, const job_waiter& waiter, std::string_view reason,
                        core::time_ms now);
 
--- a/src/hawthornstall/runs/run_layouts.hpp
+++ b/src/hawthornstall/runs/run_layouts.hpp
@@ -46,7 +46,8 @@
 
 template <> struct layout<runs::submit_job> {
     using type = runs::submit_job;
-    static constexpr auto members = std::tuple{&type::number, &type::job, &type::age};
+    static constexpr auto members =
+        std::tuple{&type::number, &type::first_number, &type::job, &type::age};
 };
 
 template <> struct layout<runs::cancel_job> {
--- a/src/hawthornstall/runs/run_messages.hpp
+++ b/src/hawthornstall/runs/run_messages.hpp
@@ -16,14 +16,15 @@
 /// Front end to scheduler: schedule a job. The specification is left out: the front end sends it to
 /// the lease holders itself.
 struct submit_job {
-    std::uint64_t number = 0; ///< Unique among the sender's jobs.
+    std::uint64_t number = 0; ///< Unique among the submissions of all processes of the sender.
+    std::uint64_t first_number = 0; ///< Number of the first submission for the same request.
     job_request job{};
     core::duration_ms age{}; ///< Since the caller's request arrived.
 };
 
 /// Scheduler to front end: start a run on a target through the target's lease holder.
 struct grant_run {
-    std::uint64_t number = 0; ///< The front end's number of the job.
+    std::uint64_t number = 0; ///< Number of the submission.
     std::uint64_t key = 0;    ///< Unique among the sender's runs.
     std::string holder{};
     std::string target{};
@@ -32,14 +33,14 @@
     std::uint32_t run = 0; ///< Number of the run among those of the task.
 };
 
-/// Front end to scheduler: the caller no longer waits for the job.
+/// Front end to scheduler: nobody waits for the result of a submission any more.
 struct cancel_job {
-    std::uint64_t number = 0;
+    std::uint64_t number = 0; ///< Number of the submission.
 };
 
 /// Scheduler to front end: the result of a job.
 struct job_ended {
-    std::uint64_t number = 0;
+    std::uint64_t number = 0; ///< Number of the submission.
     job_result result = job_result::lost;
     core::duration_ms retry_after{}; ///< Earliest resubmission of a refused job; 0 if unknown.
     std::string reason{};
--- a/tests/hawthornstall/runs/job_front_end_test.cpp
+++ b/tests/hawthornstall/runs/job_front_end_test.cpp
@@ -16,6 +16,28 @@
 
 constexpr core::time_ms start_time = core::from_count(1'000'000);
 
+job_request small_job() {
+    job_request job;
+    job.id = "a";
+    job.steps.resize(1);
+    job.terms.deadline = duration_ms{1'500};
+    return job;
+}
+
+grant_run grant_for(std::uint64_t number) {
+    return {.number = number, .key = 9, .holder = "h", .target = "w-1"};
+}
+
+std::vector<submit_job> submissions(const front_end_effects& effects) {
+    std::vector<submit_job> found;
+    for (const auto& item : effects.messages) {
+        if (const auto* const message = std::get_if<submit_job>(&item.message)) {
+            found.push_back(*message);
+        }
+    }
+    return found;
+}
+
 struct answer_case {
     std::string_view name;
     std::optional<std::string> scheduler;
@@ -24,7 +46,8 @@
     std::size_t messages = 1; ///< All that are sent, including the submission.
 };
 
-// Guards against a caller that gets no answer, or two.
+// Guards against a caller that gets no answer, or two, or that is told that nothing has run after a
+// run was started.
 TEST_CASE("each request gets exactly one answer") {
     const auto nothing = [](job_front_end&) {
     };
@@ -49,6 +72,10 @@
         CHECK(front_end.granted("s", {.number = 1, .key = 9, .holder = "h", .target = "w-1"}));
         wait(front_end);
     };
+    const auto grant_and_refuse = [](job_front_end& front_end) {
+        CHECK(front_end.granted("s", {.number = 1, .key = 9, .holder = "h", .target = "w-1"}));
+        front_end.ended("s", {.number = 1, .result = job_result::refused}, start_time);
+    };
     const std::array cases{
         answer_case{"no scheduler", std::nullopt, nothing, job_result::refused, 0},
         answer_case{"the result arrives twice", "s", end, job_result::completed, 1},
@@ -58,6 +85,8 @@
         answer_case{"no answer by the deadline, no run started", "s", wait, job_result::refused, 2},
         answer_case{"no answer by the deadline, a run was started", "s", grant_and_wait,
                     job_result::lost, 3},
+        answer_case{"refused although a run was started", "s", grant_and_refuse, job_result::lost,
+                    2},
     };
     for (const auto& item : cases) {
         CAPTURE(item.name);
@@ -179,8 +208,131 @@
         CHECK(is_cancelled == item.is_reachable);
         CHECK(std::get<submit_job>(effects.messages.back().message).age == age);
         CHECK_FALSE(front_end.granted("s", grant));
-        CHECK(front_end.granted("next", grant));
+        CHECK(front_end.granted("next", grant_for(submissions(effects).back().number)));
+    }
+}
+
+struct earlier_submission_case {
+    std::string_view name;
+    std::function<void(job_front_end&)> leave;        ///< Moves the job away from "s".
+    std::function<void(job_front_end&)> come_back;    ///< Moves the job back to "s".
+    std::function<void(job_front_end&)> late_message; ///< Of the first submission, number 1.
+    std::size_t cancels = 0;                          ///< Answers to the late message.
+    std::string_view event{};                         ///< What is logged about it.
+};
+
+// Guards against a message of an earlier submission that is taken for one of the present
+// submission to the same scheduler. A caller was told that its job was refused, as its first
+// submission was, while the run that was granted for the present one went on.
+TEST_CASE("messages of an earlier submission to the same scheduler are ignored") {
+    const auto change = [](const std::string& next) {
+        return [next](job_front_end& front_end) {
+            front_end.scheduler_changed(next, start_time);
+        };
+    };
+    const auto lose = [](const std::string& host, const std::string& next) {
+        return [host, next](job_front_end& front_end) {
+            front_end.host_unreachable(host, next, start_time);
+        };
+    };
+    const auto end = [](job_result result) {
+        return [result](job_front_end& front_end) {
+            front_end.ended("s", {.number = 1, .result = result}, start_time);
+        };
+    };
+    const auto grant = [](job_front_end& front_end) {
+        CHECK_FALSE(front_end.granted("s", grant_for(1)));
+    };
+    const std::array cases{
+        earlier_submission_case{"refused, two changes", change("other"), change("s"),
+                                end(job_result::refused), 0, "result_ignored"},
+        earlier_submission_case{"refused, cut and change", lose("s", "other"), change("s"),
+                                end(job_result::refused), 0, "result_ignored"},
+        earlier_submission_case{"lost, two changes", change("other"), change("s"),
+                                end(job_result::lost), 0, "result_ignored"},
+        earlier_submission_case{"lost, two cuts", lose("s", "other"), lose("other", "s"),
+                                end(job_result::lost), 0, "result_ignored"},
+        earlier_submission_case{"granted, two changes", change("other"), change("s"), grant, 1,
+                                "grant_ignored"},
+        earlier_submission_case{"granted, cut and change", lose("s", "other"), change("s"), grant,
+                                1, "grant_ignored"},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        job_front_end front_end;
+        front_end.open(70, small_job(), "s", start_time, start_time);
+        item.leave(front_end);
+        item.come_back(front_end);
+        const auto moved = front_end.take_effects();
+        const auto sent = submissions(moved);
+        REQUIRE(sent.size() == 3);
+        CHECK(sent[1].number > sent[0].number);
+        CHECK(sent[2].number > sent[1].number);
+        CHECK(sent[2].first_number == sent[0].number);
+        REQUIRE(moved.events.size() == 2);
+        CHECK(moved.events[1].what == "job_resubmitted");
+        CHECK(moved.events[1].job == "a");
+        CHECK(moved.events[1].scheduler == "s");
+        item.late_message(front_end);
+        const auto late = front_end.take_effects();
+        CHECK(late.answers.empty());
+        REQUIRE(late.messages.size() == item.cancels);
+        for (const auto& message : late.messages) {
+            CHECK(message.host == "s");
+            CHECK(std::get<cancel_job>(message.message).number == 1);
+        }
+        REQUIRE(late.events.size() == 1);
+        CHECK(late.events[0].what == item.event);
+        CHECK(late.events[0].scheduler == "s");
+        CHECK_FALSE(front_end.idle());
+        CHECK(front_end.granted("s", grant_for(sent[2].number)));
+        front_end.ended("s", {.number = sent[2].number, .result = job_result::completed},
+                        start_time);
+        const auto effects = front_end.take_effects();
+        REQUIRE(effects.answers.size() == 1);
+        CHECK(effects.answers[0].result == job_result::completed);
+        REQUIRE(effects.events.size() == 1);
+        CHECK(effects.events[0].what == "grant_accepted");
+        CHECK(effects.events[0].job == "a");
+    }
+}
+
+// Guards against several jobs that get one number, or a job that is skipped or submitted twice,
+// when all of them move at once.
+TEST_CASE("all jobs of a scheduler move once and keep their order") {
+    job_front_end front_end;
+    for (std::uint64_t request = 70; request < 73; ++request) {
+        front_end.open(request, small_job(), request == 71 ? "other" : "s", start_time, start_time);
+    }
+    (void)front_end.take_effects();
+    SUBCASE("the scheduler is lost") {
+        front_end.host_unreachable("s", "next", start_time);
+    }
+    SUBCASE("another one schedules") {
+        front_end.scheduler_changed("other", start_time);
+    }
+    const auto sent = submissions(front_end.take_effects());
+    REQUIRE(sent.size() == 2);
+    CHECK(sent[0].first_number == 1);
+    CHECK(sent[0].number == 4);
+    CHECK(sent[1].first_number == 3);
+    CHECK(sent[1].number == 5);
+}
+
+// Guards against a grant to an earlier process of the host that starts a task of another job.
+TEST_CASE("messages to an earlier process of the host are ignored") {
+    constexpr std::uint64_t first_number = 1'000;
+    job_front_end front_end{first_number};
+    front_end.open(70, small_job(), "s", start_time, start_time);
+    const auto sent = submissions(front_end.take_effects());
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].number > first_number);
+    for (const std::uint64_t number : {std::uint64_t{1}, first_number}) {
+        CHECK_FALSE(front_end.granted("s", grant_for(number)));
+        front_end.ended("s", {.number = number, .result = job_result::refused}, start_time);
     }
+    CHECK(front_end.take_effects().answers.empty());
+    CHECK(front_end.granted("s", grant_for(sent[0].number)));
 }
 
 } // namespace
--- a/tests/hawthornstall/runs/job_scheduler_test.cpp
+++ b/tests/hawthornstall/runs/job_scheduler_test.cpp
@@ -202,6 +202,63 @@
     CHECK(fixture.answers.size() == 2);
 }
 
+struct submission_input {
+    std::uint64_t number = 0;
+    std::uint64_t first_number = 0;
+    bool is_cancel = false;
+};
+
+struct resubmission_case {
+    std::string_view name;
+    std::vector<submission_input> inputs;  ///< In the order of their arrival.
+    std::size_t stops = 0;                 ///< Runs that are stopped because of the inputs.
+    std::vector<std::uint64_t> answered{}; ///< Submissions that get the result.
+};
+
+// Guards against grants that go to a submission that the front end has given up, after its cancel
+// was lost or overtaken, and against an answer to it or a second one to the same submission.
+TEST_CASE("a submission replaces the earlier ones of the same request") {
+    const std::array cases{
+        resubmission_case{"the cancel is lost", {{1, 1}, {4, 1}}, 1, {4}},
+        resubmission_case{"the cancel is late", {{1, 1}, {4, 1}, {1, 0, true}}, 1, {4}},
+        resubmission_case{"two cancels are lost", {{1, 1}, {4, 1}, {6, 1}}, 2, {6}},
+        resubmission_case{"the earlier one is late", {{4, 1}, {1, 1}}, 0, {4}},
+        resubmission_case{"the same one arrives twice", {{4, 1}, {4, 1}}, 0, {4}},
+        resubmission_case{"another request for the same job", {{1, 1}, {2, 2}}, 0, {1, 2}},
+        resubmission_case{"another request moves", {{1, 1}, {2, 2}, {5, 2}}, 0, {1, 5}},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        scheduler_fixture fixture{2};
+        for (const auto& input : item.inputs) {
+            if (input.is_cancel) {
+                fixture.scheduler.cancel("front-end", {.number = input.number}, fixture.now);
+            } else {
+                fixture.scheduler.submit("front-end",
+                                         {.number = input.number,
+                                          .first_number = input.first_number,
+                                          .job = make_job("a", 1, duration_ms{60})},
+                                         fixture.now);
+            }
+            fixture.place_and_collect();
+        }
+        REQUIRE(fixture.starts.size() == 1);
+        CHECK(fixture.stops.size() == item.stops);
+        if (item.stops > 0) {
+            fixture.end(fixture.starts[0].key, run_end::rejected);
+        }
+        CHECK(fixture.starts.back().number == item.answered.front());
+        fixture.end(fixture.starts.back().key, run_end::done);
+        std::vector<std::uint64_t> answered;
+        for (const auto& answer : fixture.answers) {
+            CHECK(answer.result == job_result::completed);
+            answered.push_back(answer.number);
+        }
+        CHECK(answered == item.answered);
+        CHECK(fixture.scheduler.idle());
+    }
+}
+
 // Guards against a grant that is lost with one of two callers of the same job: its run would never
 // start, and its resources would stay reserved.
 TEST_CASE("a job whose first caller leaves continues for the second one") {
