Do not count a conflict that follows from a problem that was dropped

The report of a document with more than 100 problems gave too large a number of further ones. problem_list::add_conflict leaves out a conflict when one of its values already has a problem, but it looked only at the first 100 problems, which are kept. A problem after these was not seen, so the conflict that only follows from it was counted as one more.

The list now remembers the paths of the problems that it does not keep. They are bounded by the size of the document (1 MiB) and live as long as its check.

service_document_test before: "and 2 more problems == and 1 more problems" and "and 52 more problems == and 51 more problems"; the case whose values are valid shows that conflicts are still counted.

--- a/src/hawthornstall/settings/problem_list.cpp
+++ b/src/hawthornstall/settings/problem_list.cpp
@@ -9,6 +9,7 @@
 void problem_list::add(std::string_view path, std::string_view message) {
     if (kept_.size() == max_kept) {
         ++dropped_;
+        dropped_paths_.emplace(path);
         return;
     }
     kept_.push_back({.path = std::string{path}, .message = std::string{message}});
@@ -22,7 +23,8 @@
 }
 
 bool problem_list::has(std::string_view path) const {
-    return std::ranges::find(kept_, path, &problem::path) != kept_.end();
+    return std::ranges::find(kept_, path, &problem::path) != kept_.end() ||
+           dropped_paths_.contains(path);
 }
 
 absl::Status problem_list::to_status(std::string_view step) const {
--- a/src/hawthornstall/settings/problem_list.hpp
+++ b/src/hawthornstall/settings/problem_list.hpp
@@ -5,7 +5,9 @@
 #include <absl/status/status.h>
 
 #include <cstddef>
+#include <functional>
 #include <initializer_list>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,7 +38,7 @@
     /// it.
     void add_conflict(std::initializer_list<std::string_view> paths, std::string_view message);
 
-    /// Whether a kept problem has this path.
+    /// Whether a problem with this path was reported, kept or not.
     [[nodiscard]] bool has(std::string_view path) const;
     [[nodiscard]] const std::vector<problem>& kept() const noexcept { return kept_; }
 
@@ -50,6 +52,8 @@
 private:
     std::vector<problem> kept_;
     std::size_t dropped_ = 0;
+    /// Paths of the problems that were not kept; add_conflict() needs them.
+    std::set<std::string, std::less<>> dropped_paths_;
 };
 
 } // namespace hawthornstall::settings
--- a/tests/hawthornstall/settings/service_document_test.cpp
+++ b/tests/hawthornstall/settings/service_document_test.cpp
@@ -133,5 +133,43 @@
     CHECK(lines.back() == "and 4900 more problems");
 }
 
+struct problem_count_case {
+    std::string_view name;
+    std::size_t invalid_callers; ///< Problems that are found before those of `terms`.
+    std::string_view terms;
+    std::string last_line;
+};
+
+// Guards against a number of further problems that includes conflicts which only follow from an
+// invalid value, when the problem with that value is no longer kept.
+TEST_CASE("only conflicts between valid values are counted, also beyond the kept problems") {
+    constexpr std::string_view invalid = R"({"default_deadline_ms":90000,"max_deadline_ms":0})";
+    constexpr std::string_view conflicting =
+        R"({"default_deadline_ms":2000,"max_deadline_ms":100})";
+    const std::array cases{
+        problem_count_case{
+            "the invalid value is the last kept problem", 99, invalid,
+            out_of_range("$.terms.max_deadline_ms", "a whole number from 1 to 3600000 ms", "0")},
+        problem_count_case{"the invalid value is the first dropped problem", 100, invalid,
+                           "and 1 more problems"},
+        problem_count_case{"several dropped problems", 150, invalid, "and 51 more problems"},
+        problem_count_case{"the values themselves are valid", 100, conflicting,
+                           "and 2 more problems"},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        std::string callers{"0"};
+        for (std::size_t index = 1; index < test.invalid_callers; ++index) {
+            callers += ",0";
+        }
+        const auto lines = problem_lines(
+            parse_service_document(with_members(R"(,"accepts":{"callers":[)" + callers +
+                                                R"(]},"terms":)" + std::string{test.terms}))
+                .status());
+        REQUIRE(lines.size() >= problem_list::max_kept);
+        CHECK(lines.back() == test.last_line);
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::settings
