Report the range of a port without a unit

Operators saw "expected a whole number from 1 to 65535 port" for a port out of range. The range of ports gave the name of the value as its unit.

seeded_settings_test now compares the whole message of this case.

--- a/src/hawthornstall/settings/seeded_settings.cpp
+++ b/src/hawthornstall/settings/seeded_settings.cpp
@@ -10,7 +10,7 @@
 using enum presence;
 
 constexpr list_range seed_count_range{1, 64};
-constexpr number_range port_range{1, 65'535, "port"};
+constexpr number_range port_range{1, 65'535, ""};
 constexpr number_range lease_time_range{100, 600'000, "ms"};
 constexpr number_range stop_time_range{1, 60'000, "ms"};
 constexpr real_range cpu_share_range{0.001, 1024.0};
--- a/tests/hawthornstall/settings/seeded_settings_test.cpp
+++ b/tests/hawthornstall/settings/seeded_settings_test.cpp
@@ -34,17 +34,19 @@
 struct invalid_value_case {
     std::string_view from;
     std::string_view to;
-    std::string_view path; ///< Named in the error.
+    std::string_view message; ///< Part of the error that names the path or the whole problem.
 };
 
-// Guards against a host that starts with an invalid value.
+// Guards against a host that starts with an invalid value, and against a message that does not say
+// which values are valid.
 TEST_CASE("an invalid value is refused with its path") {
     constexpr std::array cases{
         invalid_value_case{R"("10.1.0.16:8166")", R"("10.1.0.16")", "$.seeds[0]"},
         invalid_value_case{R"("entry_peer_port": 7721)", R"("entry_peer_port": 7720)",
                            "$.control_peer_port"},
         invalid_value_case{R"("control_peer_port": 7720)", R"("control_peer_port": 70000)",
-                           "$.control_peer_port"},
+                           "$.control_peer_port: expected a whole number from 1 to 65535, found "
+                           "70000"},
         invalid_value_case{R"("longest_lease_ms": 1000)", R"("longest_lease_ms": 0)",
                            "$.longest_lease_ms"},
         invalid_value_case{R"("cpu_share": 0.25)", R"("cpu_share": 0)", "$.cpu_share"},
@@ -56,7 +58,7 @@
         text.replace(text.find(item.from), item.from.size(), item.to);
         const auto settings = parse_seeded_settings(text);
         REQUIRE_FALSE(settings.ok());
-        CHECK(std::string{settings.status().message()}.find(item.path) != std::string::npos);
+        CHECK(std::string{settings.status().message()}.find(item.message) != std::string::npos);
     }
 }
 
