Keep a target paused until the end of its last pause

A target that refused a second task as busy got new tasks again less than 100 ms later. A pause ends early when an attempt on the target ends, so the next task may be refused while the end of the first pause is still scheduled. The second pause added an end of its own, and the first end lifted it.

A pause now replaces the scheduled end of an earlier one. target_pool_test before: with pauses at 0 and 50 ms the pool's next event was not at 150 ms and any_free() was true at 149 ms. After: scheduling_test passes (21 cases).

--- a/src/hawthornstall/scheduling/target_pool.hpp
+++ b/src/hawthornstall/scheduling/target_pool.hpp
@@ -132,6 +132,9 @@
     void pause(target_id id, core::time_ms until) {
         auto& target = at(id);
         if (target.known && target.health.current() != target_health::phase::ejected) {
+            // A pause replaces an earlier one, whose end must not lift it.
+            pause_ends_.erase({target.paused_until, id});
+            target.paused_until = until;
             target.in_flight_at_pause = target.in_flight;
             pause_ends_.insert({until, id});
             refresh(id);
@@ -217,6 +220,7 @@
         target_health health;
         std::uint32_t in_flight = 0;
         std::optional<std::uint32_t> in_flight_at_pause; ///< Empty if the target is not paused.
+        core::time_ms paused_until{};  ///< Of the last pause; its key in `pause_ends_`.
         core::time_ms ejected_until{}; ///< Of the last ejection; its key in `ejection_ends_`.
         bool known = false;
         bool available = false;
--- a/tests/hawthornstall/scheduling/target_pool_test.cpp
+++ b/tests/hawthornstall/scheduling/target_pool_test.cpp
@@ -137,6 +137,34 @@
     CHECK(pool.usable_slots() == 4);
 }
 
+// Guards against new work, before the end of the last pause, on a target that has refused several
+// tasks.
+TEST_CASE("a target that is paused again stays paused until the later end") {
+    struct scenario {
+        std::vector<int> pauses_ms; ///< When each pause begins; each lasts 100 ms.
+        int end_ms;
+    };
+    const std::array scenarios{scenario{{0}, 100}, scenario{{0, 50}, 150}, scenario{{0, 0}, 100},
+                               scenario{{0, 50, 90}, 190}, scenario{{0, 100}, 200}};
+    for (const auto& item : scenarios) {
+        CAPTURE(item.end_ms);
+        CAPTURE(item.pauses_ms.size());
+        pool_type pool{core::task_shape{}, ejection_rules{}};
+        const auto target = pool.upsert("target", {.slots = 2}, true);
+        for (const auto begin : item.pauses_ms) {
+            pool.advance(start_time + duration_ms{begin});
+            pool.pause(target, start_time + duration_ms{begin + 100});
+        }
+        const auto end = start_time + duration_ms{item.end_ms};
+        CHECK(pool.next_event() == end);
+        pool.advance(end - duration_ms{1});
+        CHECK_FALSE(pool.any_free());
+        pool.advance(end);
+        CHECK(pool.any_free());
+        CHECK_FALSE(pool.next_event().has_value());
+    }
+}
+
 // Guards against rounding errors that remain in the sum of speeds once no target is in service. The
 // expected wait is the work divided by this sum: it was 700,000 years, and the refusal could not be
 // read.
