Count more than 255 attempts of a task

A task of which 255 attempts were not sent got attempt number 0, and a failed attempt after that was retried although the service's max_attempts was used up. The number of attempts was kept in 8 bits. Attempts that are not sent spend nothing of the retry budget, so only the deadline bounds them.

--- a/src/hawthornstall/scheduling/job_state.hpp
+++ b/src/hawthornstall/scheduling/job_state.hpp
@@ -32,8 +32,10 @@
     bool urgent = false;       ///< Started, and half of its time has passed; see urgent_at().
     core::time_ms refuse_at{}; ///< Time of refusal if no attempt has started by then.
     core::time_ms timer_due{}; ///< When the job's timer fires: its key in `timers_`.
-    std::vector<std::uint32_t> declared_ms;   ///< Declared run time of each task; 0 if unknown.
-    std::vector<std::uint8_t> attempts;       ///< Number of attempts so far of each task.
+    std::vector<std::uint32_t> declared_ms; ///< Declared run time of each task; 0 if unknown.
+    /// Number of attempts so far of each task. Attempts that were not sent count too, and only the
+    /// deadline bounds how many there are.
+    std::vector<std::uint32_t> attempts;
     std::vector<pending_task> requeued;       ///< Tasks that wait for another attempt.
     std::vector<std::uint32_t> longest_first; ///< All tasks, longest declared run time first.
     std::uint32_t queued_begin = 0;           ///< First task in `longest_first` without an attempt.
--- a/tests/hawthornstall/scheduling/scheduler_test.cpp
+++ b/tests/hawthornstall/scheduling/scheduler_test.cpp
@@ -180,6 +180,31 @@
     }
 }
 
+// Guards against a number of attempts that starts again at 0, after which a task is retried beyond
+// the attempts that the service document allows.
+TEST_CASE("attempts that were not sent count towards the attempts of a task") {
+    struct scenario {
+        std::uint32_t not_sent;
+        bool retried; ///< After one attempt that was sent and failed.
+    };
+    constexpr std::array scenarios{scenario{0, true}, scenario{2, false}, scenario{254, false},
+                                   scenario{255, false}, scenario{300, false}};
+    for (const auto& item : scenarios) {
+        CAPTURE(item.not_sent);
+        scheduler_fixture fixture{{1, 1}};
+        fixture.submit(1, 1, {.idempotent = true, .single_request = true});
+        for (std::uint32_t count = 0; count < item.not_sent; ++count) {
+            fixture.subject.not_sent(fixture.last.starts.at(0).attempt, not_sent_cause::stopped,
+                                     fixture.now);
+            fixture.decide();
+        }
+        const auto start = fixture.last.starts.at(0);
+        CHECK(start.attempt_number == item.not_sent + 1);
+        fixture.finish(start, attempt_result::failed);
+        CHECK(fixture.last.starts.size() == (item.retried ? 1 : 0));
+    }
+}
+
 // Guards against an immediate retry, over and over, on a target that refuses tasks because other
 // services keep it busy.
 TEST_CASE("a target that refuses a task is paused for 100 ms or until an attempt ends there") {
