Reset the campaigns of a single voter that wins its election

A control host that founded a cluster alone and later stepped down waited too short or too long before its next campaign: a quarter of the timeout at first, and up to four timeouts after several elections. A single voter wins within campaign(), which left out what a win by votes does: it kept the number of campaigns and did not record that a leader had been seen.

--- a/src/hawthornstall/control/election.cpp
+++ b/src/hawthornstall/control/election.cpp
@@ -51,8 +51,7 @@
         if (pre_vote) {
             return campaign(false, view, now);
         }
-        role_ = member_role::leader;
-        leader_ = self_;
+        become_leader();
         return {};
     }
     const vote_request request{
@@ -112,11 +111,15 @@
     if (reply.pre_vote) {
         return campaign(false, view, now);
     }
+    become_leader();
+    return {};
+}
+
+void election::become_leader() {
     role_ = member_role::leader;
     leader_ = self_;
     has_seen_leader_ = true;
     campaigns_ = 0;
-    return {};
 }
 
 void election::observe_term(std::uint64_t term) {
--- a/src/hawthornstall/control/election.hpp
+++ b/src/hawthornstall/control/election.hpp
@@ -78,6 +78,8 @@
 private:
     [[nodiscard]] std::vector<addressed_body> campaign(bool pre_vote, const election_view& view,
                                                        core::time_ms now);
+    /// Becomes the leader after a quorum has voted for this member.
+    void become_leader();
     [[nodiscard]] bool has_live_leader(core::time_ms now) const;
     void restart_timer(core::time_ms now);
 
--- a/tests/hawthornstall/control/election_test.cpp
+++ b/tests/hawthornstall/control/election_test.cpp
@@ -88,5 +88,58 @@
     }
 }
 
+struct won_case {
+    std::string_view name;
+    std::size_t voters;
+    int wins; ///< Elections that the member wins and steps down from, before the last campaign.
+};
+
+// Guards against a member that counts the elections it has won as unsuccessful campaigns, so that
+// it waits longer and longer after it has stepped down.
+TEST_CASE("a member that has stepped down campaigns after the normal wait") {
+    constexpr std::array cases{won_case{"one voter", 1, 1}, won_case{"one voter", 1, 5},
+                               won_case{"two voters", 2, 1}, won_case{"two voters", 2, 5}};
+    const member_id self{.host = "a", .storage_id = 1};
+    const member_id other{.host = "b", .storage_id = 2};
+    for (const auto& item : cases) {
+        const member_set members{.voters = item.voters == 1 ? std::vector{self}
+                                                            : std::vector{self, other},
+                                 .learners = {}};
+        const election_view view{.members = members, .last = {.term = 3, .index = 7}};
+        for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+            CAPTURE(item.name);
+            CAPTURE(item.wins);
+            CAPTURE(seed);
+            election vote{{.self = self, .cluster_id = 1, .term = 3, .voted_for = std::nullopt},
+                          timeout,
+                          seed,
+                          start_time};
+            auto now = start_time;
+            const auto campaign = [&] {
+                const auto from = now;
+                while (vote.role() == member_role::follower) {
+                    now += duration_ms{1};
+                    static_cast<void>(vote.tick(view, now));
+                }
+                return now - from;
+            };
+            for (int win = 0; win < item.wins; ++win) {
+                campaign();
+                for (const bool pre_vote : {true, false}) {
+                    const vote_reply granted{.pre_vote = pre_vote,
+                                             .term = vote.term() + (pre_vote ? 1 : 0),
+                                             .granted = true};
+                    static_cast<void>(vote.handle_vote_reply(other, granted, view, now));
+                }
+                REQUIRE(vote.role() == member_role::leader);
+                vote.step_down(now);
+            }
+            const auto waited = campaign();
+            CHECK(waited >= timeout);
+            CHECK(waited <= 2 * timeout);
+        }
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::control
