Replace a connection that only carries a ping at the connection limit

A request failed as not sent, with no free connection, although the target would have accepted it: a connection that carried a ping counted as busy at the limit of connections, for up to the ping timeout (500 ms) if it no longer responded. Idle connections are pinged together, so all of them may be busy at once.

A connection whose only request in flight is a ping is now closed in favour of the request; the result of a ping is not used. http_client_test before, at the limit: outcome and fault "1 == 0" and "2 == 0" (not sent, no connection), and one connection instead of two. After: net_test passes (20 cases).

--- a/src/hawthornstall/net/http_client.cpp
+++ b/src/hawthornstall/net/http_client.cpp
@@ -35,6 +35,7 @@
         return absl::OkStatus();
     }
     selected->last_request = core::ms_clock::now();
+    selected->last_sent_ping = false;
     // If evhttp reports a failure synchronously, the result is deferred until send() has returned.
     const auto in_send_call = std::make_shared<bool>(true);
     auto& connection = *selected->connection;
@@ -95,12 +96,15 @@
         return item.connection->usable() || item.connection->busy();
     });
     if (static_cast<std::size_t>(open_connections) >= limits_.max_connections_per_target) {
-        if (most_recent == nullptr) {
+        // A connection that has been idle for too long, or that only carries a ping, is closed to
+        // stay within the limit.
+        const auto replaced = std::ranges::find_if(connections, [most_recent](const auto& item) {
+            return &item == most_recent || (most_recent == nullptr && item.carries_ping());
+        });
+        if (replaced == connections.end()) {
             return nullptr;
         }
-        // A connection that has been idle for too long is closed to stay within the limit.
-        std::erase_if(connections,
-                      [most_recent](const auto& item) { return &item == most_recent; });
+        connections.erase(replaced);
     }
     return open_connection(connections, request.address);
 }
@@ -121,6 +125,7 @@
         return;
     }
     ++counts_.pings;
+    item.last_sent_ping = true;
     connection.send({.address = address,
                      .method = exchange_method::get,
                      .path = limits_.ping_path,
--- a/src/hawthornstall/net/http_client.hpp
+++ b/src/hawthornstall/net/http_client.hpp
@@ -69,16 +69,20 @@
     [[nodiscard]] const http_client_counts& counts() const noexcept { return counts_; }
 
 private:
-    /// A connection and the time of its last request, pings excluded.
+    /// A connection and what it carried last.
     struct pooled_connection {
         std::unique_ptr<client_connection> connection;
-        core::time_ms last_request{};
+        core::time_ms last_request{}; ///< Pings excluded.
+        bool last_sent_ping = false;
+
+        /// Whether the only request in flight is a ping.
+        [[nodiscard]] bool carries_ping() const { return last_sent_ping && connection->busy(); }
     };
     using pool = std::vector<pooled_connection>;
 
     /// The usable idle connection with the latest answer; null if there is none.
     [[nodiscard]] static pooled_connection* most_recent_idle(pool& connections);
-    /// Reuses an idle connection or opens one; null if all that the limit allows are busy.
+    /// Reuses an idle connection or opens one; null if all that the limit allows carry requests.
     [[nodiscard]] pooled_connection* select_connection(pool& connections,
                                                        const exchange_request& request);
     [[nodiscard]] pooled_connection* open_connection(pool& connections, std::string_view address);
--- a/tests/hawthornstall/net/http_client_test.cpp
+++ b/tests/hawthornstall/net/http_client_test.cpp
@@ -183,6 +183,40 @@
     CHECK(client.open_requests() == 2);
 }
 
+struct pinged_case {
+    std::string_view name;
+    std::size_t max_connections;
+    std::size_t connections; ///< Opened in all.
+};
+
+// Guards against refusing a request, although the target accepts another one, while a connection at
+// the limit only carries a ping: up to the ping timeout if the connection is unresponsive.
+TEST_CASE("a connection that only carries a ping gives way to a request") {
+    constexpr std::array cases{pinged_case{"at the limit", 1, 2},
+                               pinged_case{"below the limit", 2, 2}};
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        runtime::event_loop loop;
+        // The second request of a connection, the ping, gets no answer.
+        scripted_server server{loop, {.reply = complete_answer, .answers_per_connection = 1}};
+        http_client client{loop,
+                           {.max_connections_per_target = test.max_connections,
+                            .idle_before_ping = core::duration_ms{10},
+                            .ping_timeout = test_timeout}};
+        const auto address = server.address();
+        const exchange_request request{.address = address, .idempotent = true};
+        CHECK(exchange(loop, client, request).outcome == exchange_outcome::answered);
+        while (server.pings == 0) {
+            run_loop_for(loop, core::duration_ms{20});
+        }
+        const auto result = exchange(loop, client, request);
+        CHECK(result.outcome == exchange_outcome::answered);
+        CHECK(result.fault == exchange_fault::none);
+        CHECK(server.connections == test.connections);
+        CHECK(client.open_requests() == 0);
+    }
+}
+
 struct idle_case {
     std::string name;
     bool idempotent;
