Treat a listing that cannot be read as unanswered

A 200 answer to a listing whose body is no JSON object, is cut off, is nested too deeply, holds a number beyond 64 bits, or whose lists or start time are of another type was decoded as a listing without runs. By the code of target_session, such a listing ends every confirmed run on the target as lost, and the scheduler then starts its task elsewhere while the first run goes on. A run number of 2^32 + 2 was read as run 2, and a clock of 2^63 - 1 or more overflowed when a lease time was added to it.

Cause: decode_answer ignored the errors of json_fields for listings and cast numbers without a check. Ruled out: a body that the connection cut off, which net reports as an incomplete body already.

An answer without the lists still counts as one with empty lists, and single rows of another form are still skipped.

--- a/tests/platform/target_codec_test.cpp
+++ b/tests/platform/target_codec_test.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -102,5 +104,65 @@
     CHECK(answer.listing.ended[1].end == runs::run_end::lapsed);
 }
 
+struct listing_case {
+    std::string_view name;
+    std::string_view body;
+    std::optional<runs::call_fault> expected{};
+    std::optional<std::int64_t> clock_ms{};
+    std::size_t running = 0;
+    std::size_t ended = 0;
+};
+
+// Guards against a listing that cannot be read and is taken for an empty one: all runs on the
+// target would count as ended and start elsewhere while they still run.
+TEST_CASE("a listing that cannot be read counts as unanswered") {
+    constexpr auto unanswered = runs::call_fault::unanswered;
+    const std::string nested(100'000, '[');
+    const std::array cases{
+        listing_case{.name = "empty lists",
+                     .body = R"({"clock_ms":5,"running":[],"ended":[]})",
+                     .clock_ms = 5},
+        listing_case{.name = "no lists", .body = R"({"clock_ms":5})", .clock_ms = 5},
+        listing_case{.name = "no body", .body = "", .expected = unanswered},
+        listing_case{.name = "cut off",
+                     .body = R"({"clock_ms":5,"running":[["5c0e.0.1.17",2,"",41])",
+                     .expected = unanswered},
+        listing_case{.name = "open arrays", .body = nested, .expected = unanswered},
+        listing_case{.name = "not an object", .body = "[]", .expected = unanswered},
+        listing_case{
+            .name = "running is no list", .body = R"({"running":{}})", .expected = unanswered},
+        listing_case{.name = "ended is no list", .body = R"({"ended":7})", .expected = unanswered},
+        listing_case{
+            .name = "start time is no number", .body = R"({"born":"1"})", .expected = unanswered},
+        listing_case{.name = "start time above 64 bits",
+                     .body = R"({"born":18446744073709551616})",
+                     .expected = unanswered},
+        listing_case{.name = "number beyond a double",
+                     .body = R"({"running":[],"x":1e400})",
+                     .expected = unanswered},
+        listing_case{.name = "run number above 32 bits",
+                     .body = R"({"running":[["j.0.1.17",4294967298,"",41],["j.0.1.18",2,"",0]]})",
+                     .running = 1},
+        listing_case{.name = "negative run number",
+                     .body =
+                         R"({"ended":[[1,"j.0.1.17",-1,"done",""],[2,"j.0.1.18",2,"done",""]]})",
+                     .ended = 1},
+        listing_case{.name = "task index above 32 bits",
+                     .body = R"({"running":[["j.0.1.4294967313",2,"",41]]})"},
+        listing_case{.name = "clock of 2^63-1", .body = R"({"clock_ms":9223372036854775807})"},
+        listing_case{.name = "clock of 2^64-1", .body = R"({"clock_ms":18446744073709551615})"},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        const auto answer = decode_answer(
+            make_call(runs::list_call{}),
+            {.outcome = net::exchange_outcome::answered, .status = 200, .body = item.body});
+        CHECK(answer.fault == item.expected);
+        CHECK(answer.clock_ms == item.clock_ms);
+        CHECK(answer.listing.running.size() == item.running);
+        CHECK(answer.listing.ended.size() == item.ended);
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::platform
