Limit large numbers of a configured route

A route with a timeout of 2^63 ms got a negative deadline, one with 2^32 retry attempts got none, so that its tasks failed with their first failed run, and a stretch of 1e300 overflowed when it was multiplied with a run time and cast to an integer.

Cause: decode_config cast unsigned numbers of 64 bits to smaller types. Such a configuration is valid by the protocol, so it is still accepted, and the numbers are limited: times to 10^10 ms (115 days), the stretch to 0 to 1000, counts to 32 bits. The stored content does not change.

--- a/src/hawthornstall/runs/job.hpp
+++ b/src/hawthornstall/runs/job.hpp
@@ -12,6 +12,13 @@
 
 namespace hawthornstall::runs {
 
+/// Longest time in the terms of a job and the declared run time of a task (115 days). Longer ones
+/// would overflow the sums and multiples that the scheduler forms.
+constexpr core::duration_ms max_time{10'000'000'000};
+
+/// Largest `job_terms::stretch`.
+constexpr double max_stretch = 1'000.0;
+
 /// Identical tasks within a job, started once the steps that they depend on are done.
 struct job_step {
     std::uint32_t count = 1;
--- a/tests/platform/config_codec_test.cpp
+++ b/tests/platform/config_codec_test.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -37,6 +39,56 @@
     CHECK(table->find("h.example", "/b/x") == nullptr);
 }
 
+struct large_number_case {
+    std::string_view name;
+    std::string_view from;
+    std::string_view to;
+    runs::job_terms expected;
+};
+
+// Guards against a valid configuration with a large number that is refused, or whose number becomes
+// negative or small.
+TEST_CASE("large numbers of a route are limited") {
+    const runs::job_terms terms{.service = "s",
+                                .priority = 1,
+                                .max_attempts = 4,
+                                .stretch = 1.6,
+                                .latency_target = core::duration_ms{60},
+                                .deadline = core::duration_ms{1'500}};
+    constexpr auto largest = std::numeric_limits<std::uint32_t>::max();
+    auto long_deadline = terms;
+    long_deadline.deadline = runs::max_time;
+    auto long_target = terms;
+    long_target.latency_target = runs::max_time;
+    auto last_priority = terms;
+    last_priority.priority = largest;
+    auto most_attempts = terms;
+    most_attempts.max_attempts = largest;
+    auto largest_stretch = terms;
+    largest_stretch.stretch = runs::max_stretch;
+    auto no_stretch = terms;
+    no_stretch.stretch = 0.0;
+    const std::array cases{
+        large_number_case{"timeout of 2^63", "1500", "9223372036854775808", long_deadline},
+        large_number_case{"timeout of 2^64-1", "1500", "18446744073709551615", long_deadline},
+        large_number_case{"target of 2^64-1", ":60", ":18446744073709551615", long_target},
+        large_number_case{"priority of 2^32", R"("priority":1)", R"("priority":4294967296)",
+                          last_priority},
+        large_number_case{"attempts of 2^32", R"("retry_attempts":4)",
+                          R"("retry_attempts":4294967296)", most_attempts},
+        large_number_case{"stretch of 1e300", "1.6", "1e300", largest_stretch},
+        large_number_case{"negative stretch", "1.6", "-1e300", no_stretch},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        auto route = std::string{valid_route};
+        route.replace(route.find(item.from), item.from.size(), item.to);
+        const auto table = decode_config(make_config("7", route));
+        REQUIRE(table.ok());
+        CHECK(table->routes.at(0).terms == item.expected);
+    }
+}
+
 struct invalid_case {
     std::string_view name;
     std::string body;
@@ -63,6 +115,9 @@
         invalid_case{"timeout of 0", make_config("7", no_timeout)},
         invalid_case{"field of the wrong type", make_config("7", wrong_type)},
         invalid_case{"route is not an object", make_config("7", "3")},
+        invalid_case{"open arrays", std::string(4'000'000, '[')},
+        invalid_case{"version above 64 bits", make_config("18446744073709551616", route)},
+        invalid_case{"version beyond a double", make_config("1e400", route)},
     };
     for (const auto& item : cases) {
         CAPTURE(item.name);
