Refuse jobs whose numbers are out of range

A job with a count of 2^32 + 1 ran one task. One whose tasks request 2^64 - 16000 thousandths of a core was taken as a request of -16000: it fitted every target, and its reservation added capacity there. Declared run times and deadlines near 2^63 ms overflowed the sums of the scheduler, and a job could have any number of steps without tasks.

Cause: decode_request cast unsigned numbers of 64 bits to smaller types, and check_job looked only at the number of tasks and the order of the steps.

--- a/src/hawthornstall/runs/request_filters.hpp
+++ b/src/hawthornstall/runs/request_filters.hpp
@@ -3,16 +3,25 @@
 /// Filters that find the queue of a caller's request and check its job.
 
 #include "hawthornstall/core/error.hpp"
+#include "hawthornstall/discovery/check_target.hpp"
 #include "hawthornstall/net/http_server.hpp"
 #include "hawthornstall/runs/job.hpp"
 #include "hawthornstall/runs/route_table.hpp"
 
 #include <absl/status/statusor.h>
 
+#include <cstdint>
 #include <string_view>
 
 namespace hawthornstall::runs {
 
+/// Largest resource request of one task. No target has more.
+constexpr core::resources max_request = discovery::max_capacity;
+
+/// Most work in one job, in thousandths of a core times ms. The sum over thousands of jobs stays
+/// within 64 bits.
+constexpr std::int64_t max_work = std::int64_t{1} << 50U;
+
 /// A request as it arrived, with the current routes.
 struct unrouted_request {
     const net::http_request* request = nullptr;
@@ -51,8 +60,8 @@
     }
 };
 
-/// Checks that a job has a permitted number of tasks and that its steps depend on earlier steps
-/// only.
+/// Checks that the numbers of a job are within their limits and that its steps depend on earlier
+/// steps only.
 [[nodiscard]] absl::Status check_job(const job_request& job);
 
 } // namespace hawthornstall::runs
--- a/tests/platform/job_codec_test.cpp
+++ b/tests/platform/job_codec_test.cpp
@@ -70,7 +70,7 @@
 };
 
 // Guards against jobs that are refused because the route's timeout is used although it is shorter
-// than the deadline that the caller sent.
+// than the deadline that the caller sent, and against a deadline that overflows the clock.
 TEST_CASE("the caller's deadline overrides the route's timeout") {
     constexpr std::array cases{
         deadline_case{"2761", core::duration_ms{2'761}},
@@ -78,6 +78,8 @@
         deadline_case{"", core::duration_ms{1'500}},
         deadline_case{"0", core::duration_ms{1'500}},
         deadline_case{"soon", core::duration_ms{1'500}},
+        deadline_case{"9223372036854775807", runs::max_time},
+        deadline_case{"9223372036854775808", core::duration_ms{1'500}},
     };
     for (const auto& item : cases) {
         CAPTURE(item.header);
@@ -95,7 +97,7 @@
 };
 
 // Guards against a malformed job that is accepted in part, and against a job with an unsupported
-// feature that is accepted.
+// feature that is accepted. A request that becomes negative would add capacity to its target.
 TEST_CASE("malformed and unsupported jobs are rejected with the right status") {
     constexpr std::string_view path = "/a/5c0e7a21d94b36f8";
     constexpr std::array cases{
@@ -104,6 +106,32 @@
         rejected_case{"steps of the wrong type", R"({"best_effort":true,"steps":3})", path},
         rejected_case{"count of the wrong type", R"({"best_effort":true,"steps":[{"count":"4"}]})",
                       path},
+        rejected_case{"count above 32 bits",
+                      R"({"best_effort":true,"steps":[{"count":4294967297}]})", path},
+        rejected_case{"limit of tasks per target above 32 bits",
+                      R"({"best_effort":true,"steps":[{"count":1,"anti_affinity":4294967296}]})",
+                      path},
+        rejected_case{"processor request of 2^63",
+                      R"({"best_effort":true,"steps":[{"count":1,"cpu":9223372036854775808}]})",
+                      path},
+        rejected_case{"processor request of 2^64-16000",
+                      R"({"best_effort":true,"steps":[{"count":1,"cpu":18446744073709535616}]})",
+                      path},
+        rejected_case{"memory request of 2^64-1",
+                      R"({"best_effort":true,"steps":[{"count":1,)"
+                      R"("requested_memory_mb":18446744073709551615}]})",
+                      path},
+        rejected_case{"accelerators of 2^63",
+                      R"({"best_effort":true,"steps":[{"count":1,"gpu":9223372036854775808}]})",
+                      path},
+        rejected_case{"run time of 2^64-1",
+                      R"({"best_effort":true,"steps":[{"count":1,)"
+                      R"("estimated_ms":18446744073709551615}]})",
+                      path},
+        rejected_case{"run time beyond a double",
+                      R"({"best_effort":true,"steps":[{"count":1,"estimated_ms":1e400}]})", path},
+        rejected_case{"negative processor request",
+                      R"({"best_effort":true,"steps":[{"count":1,"cpu":-1}]})", path},
         rejected_case{"invalid job id", valid_body, "/a/x"},
         rejected_case{"durable job", R"({"steps":[{"count":1}]})", path, 503},
         rejected_case{"gang", R"({"best_effort":true,"steps":[{"count":1,"gang":true}]})", path,
