--- a/tests/hawthornstall/wire/codec_test.cpp
+++ b/tests/hawthornstall/wire/codec_test.cpp
@@ -78,11 +78,14 @@
         CAPTURE(length);
         CHECK_FALSE(decode<outer>(std::string_view{complete}.substr(0, length)).ok());
     }
-    const std::array<std::string, 4> corrupt{
+    const std::array<std::string, 6> corrupt{
         complete + "x",
         encode(std::string{"not an array"}),
         // Array header that announces 2^32 - 1 elements.
         std::string("\xdd\xff\xff\xff\xff", 5),
+        // Four million nested arrays, and as many nested maps.
+        std::string(4'000'000, '\x91'),
+        std::string(4'000'000, '\x81'),
         // Enumeration value beyond the last one.
         std::string("\x95\x00\x90\xc0\x92\x00\x01\x09", 8),
     };
