Use one limit for the length of service names in all bodies

A caller could not request a submission identifier for a service whose name has 129 to 200 bytes, although targets could announce it. decode_service_name had a limit of its own, 128 bytes.

Both decoders use name_length now. target_body_test before: "false == true" for names of 129 and 200 bytes.

--- a/src/hawthornstall/http/admin_body.cpp
+++ b/src/hawthornstall/http/admin_body.cpp
@@ -82,8 +82,7 @@
     detail::fault_recorder faults{"decode_service_name"};
     const auto document = detail::parse_document(body, faults);
     detail::object_reader reader{document, "", faults};
-    constexpr std::size_t max_name_bytes = 128;
-    auto service = reader.text("service", detail::presence::required, {1, max_name_bytes});
+    auto service = reader.text("service", detail::presence::required, detail::name_length);
     reader.refuse_unknown_fields();
     if (!faults.status().ok()) {
         return faults.status();
--- a/src/hawthornstall/http/json_reader.hpp
+++ b/src/hawthornstall/http/json_reader.hpp
@@ -29,6 +29,10 @@
     std::size_t longest = SIZE_MAX;
 };
 
+/// Length of the names of targets, zones, racks and services. It is the same in all bodies, so that
+/// a caller can name every service that a target announces.
+inline constexpr length_range name_length{1, 200};
+
 /// Records the first fault of a document. Later faults are ignored, since they usually follow from
 /// the first.
 class fault_recorder {
--- a/src/hawthornstall/http/target_body.cpp
+++ b/src/hawthornstall/http/target_body.cpp
@@ -10,9 +10,6 @@
 namespace detail {
 namespace {
 
-/// Length of the names of targets, zones, racks and services.
-constexpr length_range name_length{1, 200};
-
 /// Length of "ip:port". The longest form is an IPv6 address with a zone index and a port.
 constexpr length_range address_length{1, 80};
 
--- a/tests/hawthornstall/http/target_body_test.cpp
+++ b/tests/hawthornstall/http/target_body_test.cpp
@@ -1,3 +1,4 @@
+#include "hawthornstall/http/admin_body.hpp"
 #include "hawthornstall/http/target_body.hpp"
 
 #include <doctest/doctest.h>
@@ -69,5 +70,27 @@
     }
 }
 
+struct name_length_case {
+    std::size_t bytes;
+    bool accepted;
+};
+
+// Guards against a service that a target may announce but that a caller cannot name.
+TEST_CASE("the name of a service has the same limits in every body") {
+    constexpr std::array cases{name_length_case{0, false},  name_length_case{1, true},
+                               name_length_case{128, true}, name_length_case{129, true},
+                               name_length_case{200, true}, name_length_case{201, false}};
+    for (const auto& test : cases) {
+        CAPTURE(test.bytes);
+        const std::string name(test.bytes, 's');
+        auto announcement = minion;
+        announcement.services = {name};
+        const auto body = encode_target_announcement(announcement);
+        REQUIRE(body.ok());
+        CHECK(decode_target_announcement(*body).ok() == test.accepted);
+        CHECK(decode_service_name(R"({"service":")" + name + R"("})").ok() == test.accepted);
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::http
