--- a/tests/hawthornstall/http/target_body_test.cpp
+++ b/tests/hawthornstall/http/target_body_test.cpp
@@ -75,7 +75,7 @@
     bool accepted;
 };
 
-// Guards against a service that a target may announce but that an operator cannot name in a call.
+// Guards against a service that a target may announce but that a caller cannot name.
 TEST_CASE("the name of a service has the same limits in every body") {
     constexpr std::array cases{name_length_case{0, false},  name_length_case{1, true},
                                name_length_case{128, true}, name_length_case{129, true},
