--- a/src/hawthornstall/runs/target_holder.cpp
+++ b/src/hawthornstall/runs/target_holder.cpp
@@ -99,18 +99,19 @@
     }
 }
 
-void target_holder::answered(std::string_view target, std::uint64_t call, const call_answer& answer,
+void target_holder::answered(const target_call& call, const call_answer& answer,
                              core::time_ms now) {
-    const auto found = sessions_.find(target);
-    if (found != sessions_.end()) {
-        found->second.session.answered(call, answer, now);
+    const auto found = sessions_.find(call.target);
+    // Each session has a token of its own, while its call numbers count from 1.
+    if (found != sessions_.end() && found->second.session.token() == call.fencing_token) {
+        found->second.session.answered(call.number, answer, now);
         collect_effects(found->second.session);
     }
 }
 
 void target_holder::tick(const discovery::target_directory& directory, const host_membership& hosts,
                          core::time_ms now, core::time_ms wall) {
-    release_targets(directory, hosts, now);
+    release_targets(directory, hosts, now, wall);
     claim_targets(directory, hosts, now, wall);
     for (auto& [id, held] : sessions_) {
         held.session.tick(now);
@@ -160,15 +161,27 @@
     }
 }
 
+/// Takes over what a held target announces.
+void target_holder::follow_announcement(target_session& session,
+                                        const discovery::target_record& record, core::time_ms now,
+                                        core::time_ms wall) {
+    if (session.is_restart(record)) {
+        session.claim_restarted(record, tokens_.next(wall), now);
+        collect_effects(session);
+    } else {
+        session.update(record);
+    }
+}
+
 void target_holder::release_targets(const discovery::target_directory& directory,
-                                    const host_membership& hosts, core::time_ms now) {
+                                    const host_membership& hosts, core::time_ms now,
+                                    core::time_ms wall) {
     bool is_fenced = false;
     for (auto position = sessions_.begin(); position != sessions_.end();) {
         auto& [id, held] = *position;
         const auto* const record = directory.find(id);
-        if (record != nullptr && *record != held.session.record()) {
-            held.session.update(*record, now);
-            collect_effects(held.session);
+        if (record != nullptr) {
+            follow_announcement(held.session, *record, now, wall);
         }
         held.released =
             hosts.self().leaving || record == nullptr ||
@@ -219,6 +232,9 @@
     for (auto& report : effects.reports) {
         effects_.messages.push_back({std::move(report.scheduler), report.ended});
     }
+    for (auto& event : effects.events) {
+        effects_.events.push_back({session.record().id, std::move(event)});
+    }
 }
 
 holder_effects target_holder::take_effects() {
--- a/src/hawthornstall/runs/target_holder.hpp
+++ b/src/hawthornstall/runs/target_holder.hpp
@@ -47,10 +47,17 @@
     std::uint64_t skip_s_ = first_skip_s;
 };
 
-/// Calls to make and messages to send, collected since the last take_effects().
+/// An event of a session with the target that it concerns.
+struct target_event {
+    std::string target{};
+    session_event event{};
+};
+
+/// Calls to make, messages to send and events to log, collected since the last take_effects().
 struct holder_effects {
     std::vector<target_call> calls;
     std::vector<addressed_message> messages;
+    std::vector<target_event> events;
     bool held_changed = false; ///< The list of held targets differs from before.
 };
 
@@ -69,9 +76,9 @@
     /// Stops all runs of a scheduler that cannot be reached.
     void scheduler_unreachable(std::string_view scheduler, core::time_ms now);
 
-    /// Takes the answer of a target to the call with number `call`.
-    void answered(std::string_view target, std::uint64_t call, const call_answer& answer,
-                  core::time_ms now);
+    /// Takes the answer of a target to `call`. The answer to a call of an earlier session with the
+    /// target is ignored.
+    void answered(const target_call& call, const call_answer& answer, core::time_ms now);
 
     /// Claims and releases targets, renews leases and reports to schedulers.
     void tick(const discovery::target_directory& directory, const host_membership& hosts,
@@ -92,7 +99,9 @@
     void claim_targets(const discovery::target_directory& directory, const host_membership& hosts,
                        core::time_ms now, core::time_ms wall);
     void release_targets(const discovery::target_directory& directory, const host_membership& hosts,
-                         core::time_ms now);
+                         core::time_ms now, core::time_ms wall);
+    void follow_announcement(target_session& session, const discovery::target_record& record,
+                             core::time_ms now, core::time_ms wall);
     void report_to(const std::string& scheduler, core::time_ms now);
     void reject(const run_key& run, std::string_view reason);
     void collect_effects(target_session& session);
--- a/src/hawthornstall/runs/target_session.cpp
+++ b/src/hawthornstall/runs/target_session.cpp
@@ -28,25 +28,32 @@
 /// acknowledges its ends.
 constexpr core::duration_ms listing_interval{200};
 
+/// Time after a call that extends the lease until that lease has certainly ended.
+core::duration_ms time_until_expired(const run_bounds& bounds) {
+    return lease_upper_bound(bounds.longest_lease) + call_timeout;
+}
+
 } // namespace detail
 
 target_session::target_session(discovery::target_record record, std::uint64_t token,
                                run_bounds bounds, core::time_ms now)
-    : record_(std::move(record)), token_(token), bounds_(bounds), leases_expired_at_(now),
-      next_listing_at_(now) {
+    : record_(std::move(record)), token_(token), bounds_(bounds),
+      leases_expired_at_(now + detail::time_until_expired(bounds)), next_listing_at_(now) {
     request_listing(core::duration_ms{0}, now);
 }
 
-void target_session::update(const discovery::target_record& record, core::time_ms now) {
-    if (record.incarnation != record_.incarnation || record.address != record_.address) {
-        handle_restart(now);
-        restarted_ = false;
-        claimed_ = false;
-        record_ = record;
-        request_listing(core::duration_ms{0}, now);
-        return;
-    }
+bool target_session::is_restart(const discovery::target_record& record) const noexcept {
+    return record.incarnation != record_.incarnation || record.address != record_.address;
+}
+
+void target_session::claim_restarted(const discovery::target_record& record, std::uint64_t token,
+                                     core::time_ms now) {
+    handle_restart(now);
+    restarted_ = false;
+    claimed_ = false;
     record_ = record;
+    token_ = token;
+    request_listing(core::duration_ms{0}, now);
 }
 
 void target_session::start(const start_run& message, core::time_ms now) {
@@ -56,13 +63,17 @@
                           .state = phase::starting,
                           .started = now,
                           .state_since = now};
-    const auto lease = new_lease(now);
-    const auto reason = lease ? reason_to_reject(message) : "the target's clock is not known";
+    auto reason = reason_to_reject(message);
+    const auto lease = reason.empty() ? renew_lease(now) : std::nullopt;
+    if (reason.empty() && !lease) {
+        reason = "there is no lease on the target";
+    }
     if (!reason.empty()) {
         report(entry, run_end::rejected, {}, now, reason);
         return;
     }
     runs_.push_back(entry);
+    log_run("run_start_sent", entry);
     send_call(start_call{message.run, message.specification, *lease}, detail::start_stop_timeout,
               now);
     request_listing(bounds_.longest_lease / detail::long_polls_per_lease, now);
@@ -187,8 +198,10 @@
         entry->state = phase::stop_confirmed;
         entry->state_since = now;
         request_listing(core::duration_ms{0}, now);
+    } else {
+        // tick() repeats the stop.
+        log_run("run_stop_unanswered", *entry);
     }
-    // tick() repeats a stop that was not answered.
 }
 
 void target_session::handle(const list_call& /*request*/, const pending_call& call,
@@ -214,6 +227,7 @@
         handle_restart(now);
         return;
     }
+    incarnation_seen_at_ = std::max(incarnation_seen_at_, sent);
     for (const auto& end : listing.ended) {
         ends_seen_ = std::max(ends_seen_, end.number);
         if (const auto entry = find(end.run); entry != runs_.end()) {
@@ -222,7 +236,9 @@
     }
     stop_unknown_runs(listing, now);
     end_missing_runs(listing, sent, now);
-    claimed_ = true;
+    if (!std::exchange(claimed_, true)) {
+        log_target("target_claimed");
+    }
 }
 
 /// Stops listed runs of an earlier lease holder, since nobody waits for them any more.
@@ -230,6 +246,7 @@
     for (const auto& run : listing.running) {
         if (find(run) == runs_.end()) {
             runs_.push_back({.key = std::nullopt, .run = run, .resources = {}, .started = now});
+            log_run("earlier_run_found", runs_.back());
             send_stop(runs_.back(), now);
         }
     }
@@ -256,21 +273,35 @@
     }
 }
 
-/// A restarted target has lost all earlier runs.
+/// A restarted target has lost all earlier runs. A run whose start was sent after the last listing
+/// of the earlier process may have started in the new one, where nothing stops it before its lease
+/// ends.
 void target_session::handle_restart(core::time_ms now) {
     restarted_ = true;
     ends_seen_ = ends_acknowledged_ = 0;
     target_clock_.reset();
+    lease_end_.reset();
     pending_calls_.clear();
     long_poll_.reset();
-    finish_all(run_end::lost, {}, now);
+    for (const auto& entry : runs_) {
+        const bool may_run = entry.started >= incarnation_seen_at_;
+        report(entry, run_end::lost, may_run ? time_until_ended() : core::duration_ms{}, now);
+    }
+    runs_.clear();
+}
+
+/// Longest time until runs that this session no longer controls have ended: another holder stops
+/// them, or their lease ends.
+core::duration_ms target_session::time_until_ended() const noexcept {
+    return lease_upper_bound(bounds_.longest_lease) + bounds_.stop_time;
 }
 
 /// Another host holds the target now. It stops the runs, or their leases expire, so their tasks may
 /// start elsewhere only after the longest time that either takes.
 void target_session::handle_fenced(core::time_ms now) {
     fenced_ = true;
-    finish_all(run_end::lost, lease_upper_bound(bounds_.longest_lease) + bounds_.stop_time, now);
+    log_target("target_fenced");
+    finish_all(run_end::lost, time_until_ended(), now);
 }
 
 void target_session::tick(core::time_ms now) {
@@ -280,6 +311,7 @@
     // No run survives the last lease, and the target rejects a delayed start whose lease has
     // expired.
     if (!reachable_ && !runs_.empty() && now > leases_expired_at_) {
+        log_target("leases_expired");
         finish_all(run_end::lapsed, {}, now);
     }
     for (auto& entry : runs_) {
@@ -314,17 +346,23 @@
     ends_acknowledged_ = ends_seen_;
     // An unreachable target gets no new leases: otherwise it would never be certain that its runs
     // have ended.
-    const auto lease = runs_.empty() || !reachable_ ? std::nullopt : new_lease(now);
+    const bool is_renewal = !runs_.empty() && reachable_ && !has_unanswered_stop();
+    const auto lease = is_renewal ? renew_lease(now) : std::nullopt;
     send_call(list_call{ends_seen_, lease, wait}, wait + detail::call_timeout, now);
 }
 
-/// End of a new lease on the target's clock; empty while that clock is not known.
-std::optional<std::int64_t> target_session::new_lease(core::time_ms now) {
-    if (!target_clock_) {
-        return std::nullopt;
+/// Extends the lease unless a stop is unanswered, and returns its end on the target's clock; empty
+/// while there is no lease or that clock is not known. All runs on a target share its lease.
+std::optional<std::int64_t> target_session::renew_lease(core::time_ms now) {
+    if (target_clock_ && !has_unanswered_stop()) {
+        leases_expired_at_ = now + detail::time_until_expired(bounds_);
+        lease_end_ = *target_clock_ + (now - target_clock_at_ + bounds_.longest_lease).count();
     }
-    leases_expired_at_ = now + lease_upper_bound(bounds_.longest_lease) + detail::call_timeout;
-    return *target_clock_ + (now - target_clock_at_ + bounds_.longest_lease).count();
+    return lease_end_;
+}
+
+bool target_session::has_unanswered_stop() const noexcept {
+    return std::ranges::find(runs_, phase::stopping, &run_entry::state) != runs_.end();
 }
 
 void target_session::send_call(target_request request, core::duration_ms timeout,
@@ -364,6 +402,22 @@
     }
 }
 
+void target_session::log_run(std::string_view what, const run_entry& entry) {
+    auto detail = "run " + std::to_string(entry.run.number) + " of task " +
+                  std::to_string(entry.run.task.step) + '.' + std::to_string(entry.run.task.index);
+    if (entry.key) {
+        detail += ", key " + std::to_string(entry.key->number) + " of " + entry.key->scheduler;
+    }
+    effects_.events.push_back({what, entry.run.task.job, std::move(detail)});
+}
+
+void target_session::log_target(std::string_view what) {
+    effects_.events.push_back({what,
+                               {},
+                               "token " + std::to_string(token_) + ", " +
+                                   std::to_string(runs_.size()) + " runs on the target"});
+}
+
 std::vector<target_session::run_entry>::iterator target_session::find(const run_name& run) {
     return std::ranges::find(runs_, run, &run_entry::run);
 }
--- a/src/hawthornstall/runs/target_session.hpp
+++ b/src/hawthornstall/runs/target_session.hpp
@@ -22,15 +22,24 @@
     run_ended ended{};
 };
 
-/// Calls to make and ends to report, collected since the last take_effects().
+/// A change of the session, or a call without the expected outcome, to be logged.
+struct session_event {
+    std::string_view what{}; ///< For example "target_claimed".
+    std::string job{};       ///< Id of the job concerned, if any.
+    std::string detail{};
+};
+
+/// Calls to make, ends to report and events to log, collected since the last take_effects().
 struct session_effects {
     std::vector<target_call> calls{};
     std::vector<session_report> reports{};
+    std::vector<session_event> events{};
 };
 
 /// Renews the lease of one target and starts, stops and tracks the runs on it. Does no I/O. A run
 /// occupies its resources until the target lists its end, or until it is certain that the run does
-/// not exist and cannot start any more.
+/// not exist and cannot start any more. The lease is not extended while a stop is unanswered: a run
+/// that cannot be stopped ends with the lease, since its task may start elsewhere by then.
 class target_session {
 public:
     /// Claims the target with `token`. No run starts until the target has listed the runs of an
@@ -38,8 +47,16 @@
     target_session(discovery::target_record record, std::uint64_t token, run_bounds bounds,
                    core::time_ms now);
 
-    /// Takes a later announcement of the same target; a new incarnation or address is claimed anew.
-    void update(const discovery::target_record& record, core::time_ms now);
+    /// Whether `record` announces another process than the session is with.
+    [[nodiscard]] bool is_restart(const discovery::target_record& record) const noexcept;
+
+    /// Takes a later announcement of the same process.
+    void update(const discovery::target_record& record) { record_ = record; }
+
+    /// Claims another process of the target with a new token. With the old one it would execute
+    /// delayed calls that were meant for its predecessor, which it does not know.
+    void claim_restarted(const discovery::target_record& record, std::uint64_t token,
+                         core::time_ms now);
 
     /// Starts a run, or reports it as rejected if the target cannot take it.
     void start(const start_run& message, core::time_ms now);
@@ -122,13 +139,17 @@
     void finish(std::vector<run_entry>::iterator entry, run_end end, core::time_ms now,
                 std::string_view reason = {});
     void finish_all(run_end end, core::duration_ms restart_delay, core::time_ms now);
+    [[nodiscard]] core::duration_ms time_until_ended() const noexcept;
     void report(const run_entry& entry, run_end end, core::duration_ms restart_delay,
                 core::time_ms now, std::string_view reason = {});
+    void log_run(std::string_view what, const run_entry& entry);
+    void log_target(std::string_view what);
     [[nodiscard]] std::string_view reason_to_reject(const start_run& message) const;
     void send_call(target_request request, core::duration_ms timeout, core::time_ms now);
-    [[nodiscard]] std::optional<std::int64_t> new_lease(core::time_ms now);
+    [[nodiscard]] std::optional<std::int64_t> renew_lease(core::time_ms now);
     [[nodiscard]] std::vector<run_entry>::iterator find(const run_name& run);
     [[nodiscard]] bool has_earlier_holders_runs() const noexcept;
+    [[nodiscard]] bool has_unanswered_stop() const noexcept;
 
     discovery::target_record record_;
     std::uint64_t token_;
@@ -140,6 +161,7 @@
     std::uint64_t ends_acknowledged_ = 0;      ///< Highest number sent back to the target.
     std::optional<std::int64_t> target_clock_; ///< The target's clock at `target_clock_at_`.
     core::time_ms target_clock_at_{};
+    std::optional<std::int64_t> lease_end_;  ///< Of this holder's lease, on the target's clock.
     core::time_ms leases_expired_at_{};      ///< By then all leases sent so far have expired.
     core::time_ms next_listing_at_{};        ///< Earliest time at which tick() sends a listing.
     std::optional<std::uint64_t> long_poll_; ///< Number of the long poll in flight.
@@ -147,6 +169,7 @@
     bool reachable_ = true;
     int unanswered_listings_ = 0; ///< In a row.
     bool fenced_ = false;
+    core::time_ms incarnation_seen_at_{}; ///< When the last listing of this incarnation was sent.
     bool restarted_ = false; ///< The target has restarted and has not been announced anew yet.
     session_effects effects_;
 };
