Ignore a late departure of an earlier start of a target

A departure was applied to whatever start of the target was known: one that arrived late, after the target had started again under the same id, hid the new start from all hosts until it had been silent for 30 s, since announcements of an incarnation that has left are ignored. A body that cannot be read was accepted as well.

Cause: the body of the call, which holds the start time of the sender, was not decoded. It is now; a departure of an earlier start than the known one is ignored, and one that cannot be read is refused with 400. A body that is empty or without a start time still applies to the latest start.

--- a/src/hawthornstall/control/control_gateway.hpp
+++ b/src/hawthornstall/control/control_gateway.hpp
@@ -46,6 +46,7 @@
 /// A target is shutting down.
 struct leave_request {
     std::string target;
+    std::uint64_t incarnation = 0; ///< 0 if unknown.
 };
 
 using gateway_request = std::variant<gateway_answer, config_put_request, config_read_request,
@@ -136,7 +137,7 @@
 
     void serve(std::uint64_t number, leave_request request) {
         report_({.what = "target_departed", .detail = request.target});
-        if (logic_->post(local_departure{std::move(request.target)})) {
+        if (logic_->post(local_departure{std::move(request.target), request.incarnation})) {
             send(number, codec_.accepted());
         } else {
             send(number, {.status = overloaded_status, .body = "{}"});
--- a/src/hawthornstall/control/control_logic.cpp
+++ b/src/hawthornstall/control/control_logic.cpp
@@ -99,7 +99,7 @@
 }
 
 void control_logic::process(const local_departure& input) {
-    relay_.leave(input.target, core::ms_clock::now());
+    relay_.leave(input.target, input.incarnation, core::ms_clock::now());
 }
 
 void control_logic::process(const control_hosts_changed& input) {
--- a/src/hawthornstall/control/control_logic.hpp
+++ b/src/hawthornstall/control/control_logic.hpp
@@ -54,6 +54,7 @@
 /// A target told this host that it is shutting down.
 struct local_departure {
     std::string target;
+    std::uint64_t incarnation = 0; ///< 0 if unknown.
 };
 
 /// The control hosts named by changed settings.
--- a/src/hawthornstall/discovery/announcement_relay.cpp
+++ b/src/hawthornstall/discovery/announcement_relay.cpp
@@ -30,12 +30,14 @@
     }
 }
 
-void announcement_relay::leave(std::string_view id, core::time_ms now) {
-    if (const auto* const known = directory_.find(id)) {
-        const target_record record = *known;
-        directory_.leave(record, now);
-        pending_.departed.push_back(record);
+void announcement_relay::leave(std::string_view id, std::uint64_t incarnation, core::time_ms now) {
+    const auto* const known = directory_.find(id);
+    if (known == nullptr || (incarnation != 0 && incarnation < known->incarnation)) {
+        return;
     }
+    const target_record record = *known;
+    directory_.leave(record, now);
+    pending_.departed.push_back(record);
 }
 
 host_list announcement_relay::make_host_list(const std::vector<std::string>& control_hosts) const {
--- a/src/hawthornstall/discovery/announcement_relay.hpp
+++ b/src/hawthornstall/discovery/announcement_relay.hpp
@@ -5,6 +5,7 @@
 #include "hawthornstall/discovery/messages.hpp"
 #include "hawthornstall/discovery/target_directory.hpp"
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -36,8 +37,9 @@
     void unreachable(std::string_view host);
     /// Handles an announcement of a target.
     void announce(const target_record& record, core::time_ms now);
-    /// Handles the departure of a target.
-    void leave(std::string_view id, core::time_ms now);
+    /// Handles the departure of an incarnation of a target; 0 stands for the latest one. A late
+    /// departure of an earlier incarnation than the known one is ignored.
+    void leave(std::string_view id, std::uint64_t incarnation, core::time_ms now);
 
     /// Messages that are due at `now`. `control_hosts` are this host and those linked to it.
     [[nodiscard]] std::vector<relay_message> tick(core::time_ms now,
--- a/tests/hawthornstall/discovery/announcement_relay_test.cpp
+++ b/tests/hawthornstall/discovery/announcement_relay_test.cpp
@@ -2,7 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
+#include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hawthornstall::discovery {
@@ -60,7 +63,7 @@
     relay.hello({.name = "e-2", .zone = "bilbao"});
     relay.announce(make_record("w-1", 1), start_time);
     (void)relay.tick(start_time, {});
-    relay.leave("w-1", start_time);
+    relay.leave("w-1", 0, start_time);
     relay.unreachable("e-2");
     const auto messages = relay.tick(start_time + update_interval, {});
     REQUIRE(updates_for(messages, "e-1").size() == 1);
@@ -71,5 +74,42 @@
     CHECK(list->entry_hosts.size() == 1);
 }
 
+struct departure_case {
+    std::string_view name;
+    std::uint64_t incarnation = 0;
+    bool forwarded = false;
+};
+
+// Guards against a late departure that hides a target which has started again under the same id.
+TEST_CASE("a departure applies to the known and to later incarnations") {
+    constexpr std::uint64_t known = 5;
+    const std::array cases{
+        departure_case{"unknown incarnation", 0, true},
+        departure_case{"earlier incarnation", known - 1, false},
+        departure_case{"known incarnation", known, true},
+        departure_case{"later incarnation", known + 1, true},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        announcement_relay relay;
+        relay.hello({.name = "e-1", .zone = "bilbao"});
+        auto record = make_record("w-1", 1);
+        record.incarnation = known;
+        relay.announce(record, start_time);
+        (void)relay.tick(start_time, {});
+        relay.leave("w-1", item.incarnation, start_time);
+        CHECK((relay.directory().find("w-1") == nullptr) == item.forwarded);
+        const auto updates = updates_for(relay.tick(start_time + update_interval, {}), "e-1");
+        target_directory receiver;
+        receiver.announce(record, start_time);
+        for (const auto& update : updates) {
+            for (const auto& departed : update.departed) {
+                receiver.leave(departed, start_time);
+            }
+        }
+        CHECK((receiver.find("w-1") == nullptr) == item.forwarded);
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::discovery
--- /dev/null
+++ b/tests/platform/control_codec_test.cpp
@@ -0,0 +1,55 @@
+#include "platform/control_codec.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace hawthornstall::platform {
+namespace {
+
+struct departure_case {
+    std::string_view name;
+    std::string body;
+    bool accepted = true;
+    std::uint64_t incarnation = 0;
+};
+
+// Guards against a departure that is refused for a body without a start time, one that loses the
+// start time, and one that cannot be read but removes a target.
+TEST_CASE("a departure names the incarnation that ends") {
+    const std::array cases{
+        departure_case{"no body", ""},
+        departure_case{"empty object", "{}"},
+        departure_case{"start time", R"({"born":1700000000000})", true, 1'700'000'000'000},
+        departure_case{"more fields", R"({"service":"s","born":5,"x":[1]})", true, 5},
+        departure_case{"start time of another type", R"({"born":"5"})", false},
+        departure_case{"negative start time", R"({"born":-5})", false},
+        departure_case{"start time of 2^64", R"({"born":18446744073709551616})", false},
+        departure_case{"not an object", "[5]", false},
+        departure_case{"open arrays", std::string(4'000'000, '['), false},
+        departure_case{"not JSON", "\xff\xfe", false},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        net::http_request request;
+        request.method = "POST";
+        request.path = "/api/instances/i-7/deregister";
+        request.body = item.body;
+        const auto decoded = control_codec::decode(request);
+        const auto* const departure = std::get_if<control::leave_request>(&decoded);
+        REQUIRE((departure != nullptr) == item.accepted);
+        if (departure != nullptr) {
+            CHECK(departure->target == "i-7");
+            CHECK(departure->incarnation == item.incarnation);
+        } else {
+            CHECK(std::get<control::gateway_answer>(decoded).status == 400);
+        }
+    }
+}
+
+} // namespace
+} // namespace hawthornstall::platform
