Remove a target from the services that it no longer lists

Tasks of a service went on starting on a target after it had announced other services. The dispatcher passed an announcement only to the shards of the listed services, so a shard that was dropped from the list kept the target with its last availability; shard::remove_target() had no caller. Nor was a target removed that the view of the zone had forgotten.

A changed list of services now removes the target from the shards that are no longer in it, and a forgotten target is removed from all. As a start record may be committed after the change, the check before a start covers the service too.

dispatcher_test before: starts on the target more than 10 ms after it listed another service or none.

--- a/src/hawthornstall/entry/dispatcher.hpp
+++ b/src/hawthornstall/entry/dispatcher.hpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -122,6 +123,11 @@
     void offer_if_changed(const membership::target_entry& entry, times at);
     /// Passes a target to a shard if the target runs the shard's service.
     void offer_target(shard& to, const membership::target_entry& entry, times at);
+    /// Removes a target from the shards of those of `services` that are not in `still_listed`.
+    void withdraw_target(std::string_view name, std::span<const std::string> services,
+                         std::span<const std::string> still_listed, times at);
+    /// Removes the targets that are no longer known from the shards that they were passed to.
+    void withdraw_forgotten_targets(times at);
     /// Passes every known target to a new shard.
     void offer_all_targets(shard& to, times at);
     void reply_to_front_end(const local_caller& caller, front_message message);
--- a/src/hawthornstall/entry/dispatcher_targets.cpp
+++ b/src/hawthornstall/entry/dispatcher_targets.cpp
@@ -32,6 +32,11 @@
         "the target table of this entry host is full; announce to another host");
 }
 
+bool runs_service(const membership::target_entry& entry, std::string_view service) {
+    const auto& services = entry.announcement.services;
+    return std::ranges::find(services, service) != services.end();
+}
+
 } // namespace detail
 
 void dispatcher::process(const target_announced& target, times at) {
@@ -69,6 +74,30 @@
     for (const auto& [name, entry] : registry_.view().entries()) {
         offer_if_changed(entry, at);
     }
+    if (offered_.size() > registry_.view().entries().size()) {
+        withdraw_forgotten_targets(at);
+    }
+}
+
+void dispatcher::withdraw_target(std::string_view name, std::span<const std::string> services,
+                                 std::span<const std::string> still_listed, times at) {
+    for (const auto& service : services) {
+        auto* const owned = find_shard(service);
+        if (owned != nullptr && std::ranges::find(still_listed, service) == still_listed.end()) {
+            carry_out(*owned, owned->remove_target(name, at), at);
+        }
+    }
+}
+
+void dispatcher::withdraw_forgotten_targets(times at) {
+    for (auto item = offered_.begin(); item != offered_.end();) {
+        if (registry_.view().find(item->first) != nullptr) {
+            ++item;
+            continue;
+        }
+        withdraw_target(item->first, item->second.services, {}, at);
+        item = offered_.erase(item);
+    }
 }
 
 void dispatcher::offer_if_changed(const membership::target_entry& entry, times at) {
@@ -80,15 +109,15 @@
     if (last == offer) {
         return;
     }
-    last = offer;
+    const auto previous = std::exchange(last, offer);
+    withdraw_target(announcement.name, previous.services, announcement.services, at);
     for (auto& [service, owned] : shards_) {
         offer_target(*owned, entry, at);
     }
 }
 
 void dispatcher::offer_target(shard& to, const membership::target_entry& entry, times at) {
-    const auto& services = entry.announcement.services;
-    if (std::ranges::find(services, to.log().shard().service) != services.end()) {
+    if (detail::runs_service(entry, to.log().shard().service)) {
         carry_out(to, to.set_target(entry.announcement, entry.is_usable(at.now), at), at);
     }
 }
@@ -113,10 +142,11 @@
 }
 
 void dispatcher::start(shard& source, run_task task, times at) {
-    // Shards learn of an expired lease with a delay, so the lease is checked again before the
-    // start.
+    // Shards learn of an expired lease with a delay, and a start record may be committed after the
+    // target has left the service, so both are checked again before the start.
     const auto* const entry = registry_.view().find(task.target);
-    if (entry == nullptr || !entry->is_usable(at.now)) {
+    if (entry == nullptr || !entry->is_usable(at.now) ||
+        !detail::runs_service(*entry, source.log().shard().service)) {
         carry_out(source, source.task_ended(task.run, task_result::not_sent, {}, at), at);
         return;
     }
--- a/tests/hawthornstall/entry/dispatcher_test.cpp
+++ b/tests/hawthornstall/entry/dispatcher_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <string_view>
@@ -242,9 +243,9 @@
     }
 }
 
-// Guards against task starts on a target that has announced that it is leaving, or whose lease has
-// expired without a renewal.
-TEST_CASE("no task starts on a leaving target or after a target's lease has expired") {
+// Guards against task starts on a target that has announced that it is leaving or that it no longer
+// runs the service, or whose lease has expired without a renewal.
+TEST_CASE("no task starts on a target that has left the service or whose lease has expired") {
     struct leave_case {
         std::string_view name;
         void (*leave)(zone_harness&);
@@ -255,6 +256,10 @@
         leave_case{"silent",
                    [](auto& zone) { zone.set_behaviour("t1", testing::target_behaviour::silent); },
                    core::duration_ms{3000}},
+        leave_case{"service no longer listed",
+                   [](auto& zone) { zone.set_services("t1", {"other"}); }, core::duration_ms{10}},
+        leave_case{"no service", [](auto& zone) { zone.set_services("t1", {}); },
+                   core::duration_ms{10}},
     };
     for (const auto& test : cases) {
         CAPTURE(test.name);
@@ -273,6 +278,23 @@
     }
 }
 
+// Guards against a target that gets no tasks after it has listed the service again.
+TEST_CASE("a target that lists a service again gets its tasks") {
+    for (const auto* const host : {"h1", "h2", "h3"}) {
+        CAPTURE(host);
+        zone_harness zone{3, make_document()};
+        zone.add_target("t1", 4);
+        zone.run_for(core::duration_ms{4000});
+        zone.set_services("t1", {});
+        zone.run_for(core::duration_ms{100});
+        zone.set_services("t1", {"other", "restock"});
+        zone.run_for(core::duration_ms{100});
+        zone.call(host, make_job(1, true, "job"));
+        zone.run_for(core::duration_ms{1000});
+        CHECK(zone.starts().size() == 1);
+    }
+}
+
 // Guards against a checker that accepts every history, which would make the tests above pass
 // whatever happens.
 TEST_CASE("the checker finds each kind of violation") {
--- a/tests/hawthornstall/entry/zone_harness.cpp
+++ b/tests/hawthornstall/entry/zone_harness.cpp
@@ -74,6 +74,11 @@
     next_announcement_ = now_;
 }
 
+void zone_harness::set_services(const std::string& target, std::vector<std::string> services) {
+    targets_.at(target).announcement.services = std::move(services);
+    next_announcement_ = now_;
+}
+
 std::size_t zone_harness::call(std::string_view host, core::job_request job) {
     const auto number = calls_.size();
     calls_.push_back({.job = job, .answers = {}, .sent = now_, .answered = {}});
--- a/tests/hawthornstall/entry/zone_harness.hpp
+++ b/tests/hawthornstall/entry/zone_harness.hpp
@@ -58,6 +58,9 @@
     /// Makes the target announce at once that it is leaving.
     void leave(const std::string& target);
 
+    /// Makes the target announce at once that it runs the tasks of `services` only.
+    void set_services(const std::string& target, std::vector<std::string> services);
+
     /// Sends a job to `host` and returns its index in calls().
     std::size_t call(std::string_view host, core::job_request job);
 
