Keep the availability of targets when a scheduler is replaced

After a change of a service's queue order, capacity model or task shape, tasks were assigned to targets whose lease had expired. The dispatcher did not send them, but each counted as a failure of the target, and the slots counted for admission. The shard kept the announcements only and took every target that had not left as available for the new scheduler.

It now keeps the availability that was last passed to it. shard_test before: one run instead of none on a target with an expired lease, "1 == 0".

--- a/src/hawthornstall/entry/shard.cpp
+++ b/src/hawthornstall/entry/shard.cpp
@@ -130,7 +130,7 @@
 }
 
 shard_effects shard::set_target(const core::target_announcement& target, bool available, times at) {
-    targets_.insert_or_assign(target.name, target);
+    targets_.insert_or_assign(target.name, known_target{target.capacity, available});
     scheduler_->set_target(target.name, target.capacity, available);
     run_decisions(at);
     return take_effects(at);
@@ -189,7 +189,7 @@
     scheduler_outdated_ = false;
     scheduler_ = std::make_unique<service_scheduler>(document_);
     for (const auto& [name, target] : targets_) {
-        scheduler_->set_target(name, target.capacity, !target.leaving);
+        scheduler_->set_target(name, target.capacity, target.available);
     }
     admit_waiting(at);
 }
--- a/src/hawthornstall/entry/shard.hpp
+++ b/src/hawthornstall/entry/shard.hpp
@@ -102,6 +102,11 @@
         std::string target;
         std::uint32_t recorded_attempt = 0; ///< Attempt number in the journal; 0 without a record.
     };
+    /// A target as last passed to set_target().
+    struct known_target {
+        core::target_capacity capacity;
+        bool available = false;
+    };
     /// A refusal that waits for the journal to confirm ownership.
     struct held_answer {
         reply_address reply_to;
@@ -160,7 +165,7 @@
     pending_commits<std::uint64_t> uncommitted_starts_; ///< Runs whose start record is uncommitted.
     pending_commits<std::uint64_t> uncommitted_ends_;   ///< Jobs whose end record is uncommitted.
     pending_commits<held_answer> unconfirmed_refusals_; ///< Refusals until ownership is confirmed.
-    std::map<std::string, core::target_announcement, std::less<>> targets_;
+    std::map<std::string, known_target, std::less<>> targets_;
     admission_stage admission_;
     core::time_ms next_tick_{};
     core::time_ms next_call_{};
