Accept an empty list of control hosts in the configuration client

config_client threw an exception when it had no control hosts and a host sent it documents or a digest: it looked up the host of its subscription in the empty list. The settings of an entry host must name a control host, so only other users of the class could meet this; tick() and send() allow for an empty list.

The client now compares the sender with that host only if there is one. config_client_test before: vector::_M_range_check for a delta and two digests.

--- a/src/hawthornstall/entry/config_client.cpp
+++ b/src/hawthornstall/entry/config_client.cpp
@@ -93,7 +93,7 @@
 
 void config_client::receive(std::string_view host, const control::config_delta& delta,
                             core::time_ms now) {
-    if (host == subscribed_host()) {
+    if (is_subscribed_to(host)) {
         last_heard_ = now;
         subscription_confirmed_ = true;
     }
@@ -104,7 +104,7 @@
 
 void config_client::receive(std::string_view host, const control::config_digest& digest,
                             core::time_ms now) {
-    if (host != subscribed_host()) {
+    if (!is_subscribed_to(host)) {
         return; // Sent before the client switched to another host.
     }
     last_heard_ = now;
@@ -157,7 +157,7 @@
 void config_client::subscribe(std::uint64_t revision, core::time_ms now) {
     subscription_confirmed_ = false;
     last_subscribed_ = now;
-    effects_.emplace_back(send_to_control_host{std::string{subscribed_host()},
+    effects_.emplace_back(send_to_control_host{control_hosts_.at(subscribed_host_index_),
                                                control::config_subscribe{.revision = revision}});
 }
 
--- a/src/hawthornstall/entry/config_client.hpp
+++ b/src/hawthornstall/entry/config_client.hpp
@@ -93,8 +93,9 @@
     void subscribe(std::uint64_t revision, core::time_ms now);
     void send(open_request& request, core::time_ms now);
     void fail_request(const open_request& request);
-    [[nodiscard]] std::string_view subscribed_host() const {
-        return control_hosts_.at(subscribed_host_index_);
+    /// Whether the subscription is with `host`; false without control hosts.
+    [[nodiscard]] bool is_subscribed_to(std::string_view host) const {
+        return !control_hosts_.empty() && control_hosts_.at(subscribed_host_index_) == host;
     }
 
     std::vector<std::string> control_hosts_;
