Test which failed tasks run again for requests and jobs

A single idempotent request has no submission and no start records, and is_repeatable() is asked only about attempts with a record, that is, about jobs, for which both rules agree.

It stays to guard against a later difference.

--- a/tests/hawthornstall/entry/dispatcher_test.cpp
+++ b/tests/hawthornstall/entry/dispatcher_test.cpp
@@ -295,6 +295,46 @@
     }
 }
 
+struct retry_case {
+    std::string_view name;
+    std::size_t tasks;
+    bool idempotent;
+    bool retry_failed_starts;
+    bool all_answered;
+};
+
+// Guards against a shard and a scheduler that disagree about which failed tasks run again: single
+// idempotent requests always do, jobs if they are idempotent and the service allows it.
+TEST_CASE("a failed task runs again if its job and the service allow it") {
+    constexpr std::array cases{
+        retry_case{"request, retries of jobs not allowed", 1, true, false, true},
+        retry_case{"request, retries of jobs allowed", 1, true, true, true},
+        retry_case{"request that is not idempotent", 1, false, true, false},
+        retry_case{"job, retries not allowed", 2, true, false, false},
+        retry_case{"job, retries allowed", 2, true, true, true},
+        retry_case{"job that is not idempotent", 2, false, true, false},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        auto document = make_document();
+        document.retry.retry_failed_starts = item.retry_failed_starts;
+        auto zone = make_zone(document);
+        zone.set_behaviour("t1", testing::target_behaviour::failing);
+        for (int number = 0; number < 12; ++number) {
+            zone.call("h1", make_job(item.tasks, item.idempotent, "job" + std::to_string(number)));
+        }
+        zone.run_for(core::duration_ms{5000});
+        bool all_answered = true;
+        for (const auto& call : zone.calls()) {
+            REQUIRE(call.answers.size() == 1);
+            all_answered = all_answered && call.answers.front().outcome == outcome_class::answered;
+        }
+        CHECK(all_answered == item.all_answered);
+        CHECK(std::ranges::any_of(zone.starts(),
+                                  [](const auto& start) { return start.target == "t1"; }));
+    }
+}
+
 // Guards against a checker that accepts every history, which would make the tests above pass
 // whatever happens.
 TEST_CASE("the checker finds each kind of violation") {
