--- a/tests/hawthornstall/settings/host_settings_test.cpp
+++ b/tests/hawthornstall/settings/host_settings_test.cpp
@@ -14,13 +14,16 @@
 const std::string control_hosts = R"([{"name":"control-1","peer_address":"192.0.2.9:7100"}])";
 
 /// Valid settings of an entry host with `extra` members at the end.
-std::string entry_text(std::string_view peers, std::string_view extra) {
+std::string entry_text(std::string_view peers, std::string_view extra,
+                       std::string_view replicas = R"(["bilbao-1"])") {
     return R"({"name":"bilbao-1","zone":"bilbao","http_address":"192.0.2.1:8080",)"
-           R"("peer_address":"192.0.2.1:7000","journal_replicas":["bilbao-1"],"control_hosts":)" +
-           control_hosts + R"(,"peers":[)" + std::string{peers} + "]" + std::string{extra} + "}";
+           R"("peer_address":"192.0.2.1:7000","journal_replicas":)" +
+           std::string{replicas} + R"(,"control_hosts":)" + control_hosts + R"(,"peers":[)" +
+           std::string{peers} + "]" + std::string{extra} + "}";
 }
 
 constexpr std::string_view tokens_file = R"(,"tokens_file":"tokens.json")";
+constexpr std::string_view peer = R"({"name":"a","zone":"b","peer_address":"192.0.2.3:7000"})";
 
 struct problem_case {
     std::string_view name;
@@ -47,6 +50,23 @@
              "$.peers[3].peer_address: expected " + std::string{address_rule.description} +
                  ", found a value of type string",
              "$.peers[3].name: name of an earlier entry", "$.peers[3].kind: unknown key"}},
+        problem_case{"replicas on this host and a peer",
+                     entry_text(peer, tokens_file, R"(["a","bilbao-1"])"),
+                     {}},
+        problem_case{"replicas on unknown hosts",
+                     entry_text(peer, tokens_file, R"(["c","a","control-1"])"),
+                     {"$.journal_replicas[0]: must be $.name or the name of a peer",
+                      "$.journal_replicas[2]: must be $.name or the name of a peer"}},
+        problem_case{"two replicas on one host",
+                     entry_text(peer, tokens_file, R"(["a","a"])"),
+                     {"$.journal_replicas[1]: occurs more than once in the array"}},
+        problem_case{"no replicas",
+                     entry_text(peer, tokens_file, "[]"),
+                     {"$.journal_replicas: expected an array of 1 to 9 elements, found an array of "
+                      "0 elements"}},
+        problem_case{"replicas are not looked up among faulty peers",
+                     entry_text("7", tokens_file, R"(["a"])"),
+                     {"$.peers[0]: expected an object, found 7"}},
         problem_case{"thread count and log level",
                      entry_text("", R"(,"tokens_file":"t","http_threads":65,"log_level":"trace")"),
                      {"$.http_threads: expected a whole number from 1 to 64 threads, found 65",
