--- a/src/hawthornstall/control/control_event_log.cpp
+++ b/src/hawthornstall/control/control_event_log.cpp
@@ -13,6 +13,9 @@
     case kind::role_changed:
         write({.name = "role_changed"}, {{"role", detail}});
         break;
+    case kind::members_changed:
+        write({.name = "members_changed"}, {{"detail", detail}});
+        break;
     case kind::peer_reachable:
         write({.name = "peer_reachable", .peer = detail});
         break;
--- a/src/hawthornstall/control/control_logic.cpp
+++ b/src/hawthornstall/control/control_logic.cpp
@@ -29,6 +29,15 @@
     return number(source);
 }
 
+std::string names_of(std::span<const member_id> members) {
+    std::string names;
+    for (const auto& member : members) {
+        names += names.empty() ? "" : " ";
+        names += member.host;
+    }
+    return names;
+}
+
 std::string_view role_name(member_role role) {
     switch (role) {
     case member_role::leader:
@@ -262,6 +271,15 @@
     }
 }
 
+void control_logic::report_members(const member_set& members) {
+    if (members != last_members_) {
+        last_members_ = members;
+        report_({control_event::kind::members_changed,
+                 "voters " + detail::names_of(members.voters) + ", learners " +
+                     detail::names_of(members.learners)});
+    }
+}
+
 void control_logic::receive(std::string_view peer, std::string_view body) {
     const auto now = core::ms_clock::now();
     // Messages that cannot be decoded are dropped: their senders resend on a timer.
@@ -345,6 +363,7 @@
         }
     }
     report_role(service_->replica().node().current_election().role());
+    report_members(service_->replica().node().members());
 }
 
 } // namespace hawthornstall::control
--- a/src/hawthornstall/control/control_logic.hpp
+++ b/src/hawthornstall/control/control_logic.hpp
@@ -79,8 +79,9 @@
 /// Event of control_logic that is logged and counted.
 struct control_event {
     enum class kind : std::uint8_t {
-        folder_damaged, ///< `detail` is where the damaged folder was moved.
-        role_changed,   ///< `detail` is the new role.
+        folder_damaged,  ///< `detail` is where the damaged folder was moved.
+        role_changed,    ///< `detail` is the new role.
+        members_changed, ///< `detail` lists the voters and the learners of the log.
         peer_reachable,
         peer_unreachable,
         storage_failed,   ///< The replica is unavailable. `detail` describes the error.
@@ -127,6 +128,7 @@
     void retry_storage(core::time_ms now);
     void relay(core::time_ms now);
     void report_role(member_role role);
+    void report_members(const member_set& members);
     void receive(std::string_view peer, std::string_view body);
     void update_reachability(std::string_view peer, bool reachable);
     void tick();
@@ -143,6 +145,7 @@
     std::unique_ptr<control_service<file_storage>> service_; ///< Null while the storage fails.
     core::time_ms storage_retry_at_{};
     member_role last_role_ = member_role::follower;
+    member_set last_members_; ///< As last reported.
     bool finish_scheduled_ = false;
     runtime::event_handle tick_event_;
     runtime::event_handle finish_event_;
