Remove a silent voter from an even number of voters

Callers saw 503 for every change and read of the configuration after a second control host was replaced, and after a restart of all processes no request was served: entry hosts got no configuration.

Cause: a voter left the log only when the same host came back under a new identity. A host that was replaced at another address stayed a voter for ever. After one replacement the log had four voters, three of them alive; the next loss left two of four, which is no majority. The new host could not become a learner, since that needs a leader.

The majority of the others is smaller by one, so that they tolerate as many losses as before, and the copies of an acknowledged change still outnumber these losses. It is an ordinary change by one member, committed by a majority of the new voters, which overlaps with every majority of the old ones. A leader without contact to a majority removes nobody. An odd number keeps a silent voter until a new host has caught up and votes.

Ruled out: that entry hosts did not find the new addresses (after the restart the log of all seven shows peer_reachable for the three control hosts).

--- a/src/hawthornstall/control/detail/consensus_node_impl.hpp
+++ b/src/hawthornstall/control/detail/consensus_node_impl.hpp
@@ -128,11 +128,12 @@
 
 template <log_storage Storage>
 void consensus_node<Storage>::handle(const member_id& from, const append_reply& reply,
-                                     core::time_ms /*now*/) {
+                                     core::time_ms now) {
     election_.observe_term(reply.term);
     auto* const progress = progress_.find(from);
     if (is_leader() && reply.term == election_.term() && progress != nullptr) {
         record_reply(reply, *progress);
+        progress->heard_at = now;
     }
 }
 
--- a/src/hawthornstall/control/detail/consensus_node_leader.hpp
+++ b/src/hawthornstall/control/detail/consensus_node_leader.hpp
@@ -103,7 +103,17 @@
             caught_up.push_back(learner);
         }
     }
-    if (auto changed = next_member_change(members_, self(), joining, caught_up)) {
+    // Right after this process was suspended all members seem silent. Only a leader in contact with
+    // a majority judges the others.
+    const bool has_contact =
+        now - progress_.confirmed_at(members_.voters) <= settings_.election_timeout;
+    auto silent = progress_.silent_members(settings_.remove_silent_after, now);
+    if (!has_contact) {
+        silent.clear();
+    }
+    const member_observations observed{
+        .joining = joining, .caught_up = caught_up, .silent = silent};
+    if (auto changed = next_member_change(members_, self(), observed)) {
         append_as_leader(std::move(*changed));
     }
 }
--- a/src/hawthornstall/control/member_changes.cpp
+++ b/src/hawthornstall/control/member_changes.cpp
@@ -18,6 +18,23 @@
     return std::ranges::find(members, member) != members.end();
 }
 
+/// Smallest number of voters from which a silent one is removed. Fewer would leave a single copy of
+/// a committed entry.
+constexpr std::size_t min_voters_before_removal = 4;
+
+/// Voter to remove because it is silent, or null.
+const member_id* removable_voter(const member_set& current, const member_id& self,
+                                 std::span<const member_id> silent) {
+    const auto count = current.voters.size();
+    if (count < min_voters_before_removal || count % 2 != 0) {
+        return nullptr;
+    }
+    const auto found = std::ranges::find_if(current.voters, [&](const member_id& voter) {
+        return voter != self && contains(silent, voter);
+    });
+    return found == current.voters.end() ? nullptr : &*found;
+}
+
 } // namespace detail
 
 std::vector<member_id> join_queue::pending(core::time_ms now, core::duration_ms max_age) {
@@ -44,10 +61,13 @@
 }
 
 std::optional<member_set> next_member_change(const member_set& current, const member_id& self,
-                                             std::span<const member_id> joining,
-                                             std::span<const member_id> caught_up) {
+                                             const member_observations& observed) {
+    if (const auto* const voter = detail::removable_voter(current, self, observed.silent)) {
+        return without_member(current, *voter);
+    }
     for (const auto& learner : current.learners) {
-        if (!detail::contains(caught_up, learner)) {
+        if (!detail::contains(observed.caught_up, learner) ||
+            detail::contains(observed.silent, learner)) {
             continue;
         }
         const auto* const old = detail::other_identity(current.voters, learner);
@@ -60,7 +80,7 @@
             return promoted;
         }
     }
-    for (const auto& member : joining) {
+    for (const auto& member : observed.joining) {
         if (is_member(current, member)) {
             continue;
         }
--- a/src/hawthornstall/control/member_changes.hpp
+++ b/src/hawthornstall/control/member_changes.hpp
@@ -35,16 +35,25 @@
 [[nodiscard]] bool is_voter(const member_set& members, const member_id& member);
 [[nodiscard]] bool is_member(const member_set& members, const member_id& member);
 
-/// Next step towards all `joining` members being voters; empty when there is none. `joining` lists
-/// the members with a pending join request (see join_queue), `caught_up` the learners whose log
-/// contains all committed entries.
+/// What a leader knows about members and hosts that want to join.
+struct member_observations {
+    std::span<const member_id> joining;   ///< Those with a pending join request (see join_queue).
+    std::span<const member_id> caught_up; ///< Learners whose log contains all committed entries.
+    std::span<const member_id> silent;    ///< Members that have not answered for a while.
+};
+
+/// Next step towards all joining members being voters; empty when there is none.
 ///
 /// The earlier identity of a rejoining host is removed before the new one becomes a voter. Doing
 /// both in one step would be unsafe: a majority of {A, B, C-old} and one of {A, B, C-new} need not
 /// overlap.
+///
+/// A silent voter is removed from an even number of at least four voters. The majority of the
+/// others is smaller by one, so that they tolerate as many losses as before. An odd number keeps
+/// its silent voters, because without one of them it would tolerate fewer losses when that voter
+/// returns.
 [[nodiscard]] std::optional<member_set> next_member_change(const member_set& current,
                                                            const member_id& self,
-                                                           std::span<const member_id> joining,
-                                                           std::span<const member_id> caught_up);
+                                                           const member_observations& observed);
 
 } // namespace hawthornstall::control
--- a/src/hawthornstall/control/replication_progress.cpp
+++ b/src/hawthornstall/control/replication_progress.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <vector>
 
 namespace hawthornstall::control {
 namespace detail {
@@ -81,4 +80,16 @@
     return rounds_.front().time;
 }
 
+std::vector<member_id> replication_progress::silent_members(core::duration_ms limit,
+                                                            core::time_ms now) {
+    std::vector<member_id> silent;
+    for (auto& [member, progress] : members_) {
+        progress.heard_at = progress.heard_at.value_or(now);
+        if (now - *progress.heard_at > limit) {
+            silent.push_back(member);
+        }
+    }
+    return silent;
+}
+
 } // namespace hawthornstall::control
--- a/src/hawthornstall/control/replication_progress.hpp
+++ b/src/hawthornstall/control/replication_progress.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace hawthornstall::control {
 
@@ -24,6 +25,8 @@
     std::uint64_t sent_commit = 0;
     std::uint64_t in_flight_index = 0; ///< Last entry that was sent and is unanswered, or 0.
     core::time_ms resend_at{};         ///< When entries in flight count as lost.
+    /// Latest reply, or the first call of silent_members() after it became a member.
+    std::optional<core::time_ms> heard_at{};
 };
 
 /// Progress of all members during one term of a leader.
@@ -53,6 +56,9 @@
     /// Start of the latest round that a quorum answered; this member still led at that time.
     [[nodiscard]] core::time_ms confirmed_at(std::span<const member_id> voters);
 
+    /// Members that have not replied for longer than `limit`, which includes the leader itself.
+    [[nodiscard]] std::vector<member_id> silent_members(core::duration_ms limit, core::time_ms now);
+
 private:
     struct round_start {
         std::uint64_t round = 0;
--- a/tests/hawthornstall/control/cluster_simulation.hpp
+++ b/tests/hawthornstall/control/cluster_simulation.hpp
@@ -28,6 +28,7 @@
     int crash_per_mille = 4;          ///< Per host and step.
     int partition_per_mille = 2;      ///< Per step: partitions the leader for up to 6 s.
     int disk_loss_per_mille = 4;      ///< Per step, only while a majority would remain.
+    bool replaces_hosts = false;      ///< A host that loses its disk comes back as another host.
     int resend_answered_percent = 20; ///< Edits resent although they were answered.
     storage_faults storage{};         ///< Deliberate faults.
     bool keeps_identity = false;      ///< Deliberate fault: a replaced disk keeps its identity.
@@ -45,6 +46,7 @@
         for (std::size_t index = 0; index < host_count; ++index) {
             settings_.hosts.push_back("control-" + std::to_string(index));
         }
+        settings_.accept_unlisted = options_.replaces_hosts;
         settings_.compact_after_entries = 12;
         for (std::size_t index = 0; index < host_count; ++index) {
             hosts_[index].disk = make_disk(index);
@@ -223,6 +225,9 @@
             const auto index = random_index(host_count);
             crash(hosts_[index]);
             const auto cluster_id = hosts_[index].disk->state.cluster_id;
+            if (options_.replaces_hosts) {
+                settings_.hosts[index] = "control-" + std::to_string(host_count + lost_disks_);
+            }
             hosts_[index].disk = make_disk(index);
             // A member that lost its disk is otherwise recognised by its missing cluster
             // identifier.
--- a/tests/hawthornstall/control/consensus_node_test.cpp
+++ b/tests/hawthornstall/control/consensus_node_test.cpp
@@ -17,17 +17,43 @@
 class small_cluster {
 public:
     explicit small_cluster(std::size_t count) {
-        consensus_settings settings;
+        settings.accept_unlisted = true;
+        settings.compact_after_entries = 4;
         for (std::size_t index = 0; index < count; ++index) {
             settings.hosts.push_back("control-" + std::to_string(index));
         }
-        settings.compact_after_entries = 4;
         for (std::size_t index = 0; index < count; ++index) {
-            auto disk = std::make_shared<simulated_disk>();
-            disk->state.self = {.host = settings.hosts[index], .storage_id = index + 1};
-            nodes.emplace_back(memory_storage{disk}, settings, index + 1, now);
+            add_host();
         }
-        partitioned.resize(count);
+    }
+
+    /// Starts a host with an empty disk, which knows the hosts in `settings`.
+    void add_host() {
+        const auto index = nodes.size();
+        auto disk = std::make_shared<simulated_disk>();
+        disk->state.self = {.host = "control-" + std::to_string(index), .storage_id = index + 1};
+        disks.push_back(disk);
+        nodes.emplace_back(memory_storage{disk}, settings, index + 1, now);
+        partitioned.push_back(false);
+    }
+
+    /// Restarts every host with what is on its disk.
+    void restart_all() {
+        network.clear();
+        for (std::size_t index = 0; index < nodes.size(); ++index) {
+            nodes[index] = consensus_node<memory_storage>{memory_storage{disks[index]}, settings,
+                                                          index + 1, now};
+        }
+    }
+
+    [[nodiscard]] std::vector<std::size_t> reachable() const {
+        std::vector<std::size_t> hosts;
+        for (std::size_t index = 0; index < nodes.size(); ++index) {
+            if (!partitioned[index]) {
+                hosts.push_back(index);
+            }
+        }
+        return hosts;
     }
 
     void run_for(core::duration_ms duration) {
@@ -49,6 +75,14 @@
         }
     }
 
+    [[nodiscard]] std::vector<std::string> names_of(std::span<const std::size_t> indices) const {
+        std::vector<std::string> names;
+        for (const auto index : indices) {
+            names.push_back(disks[index]->state.self.host);
+        }
+        return names;
+    }
+
     [[nodiscard]] std::size_t leader() const {
         std::size_t found = nodes.size();
         for (std::size_t index = 0; index < nodes.size(); ++index) {
@@ -64,7 +98,9 @@
         return static_cast<std::size_t>(host.back() - '0');
     }
 
+    consensus_settings settings;
     core::time_ms now = core::from_count(1'000'000);
+    std::vector<std::shared_ptr<simulated_disk>> disks;
     std::vector<consensus_node<memory_storage>> nodes;
     std::vector<bool> partitioned;
     std::vector<peer_message> network;
@@ -82,8 +118,10 @@
 // Guards against a cluster that commits with fewer hosts than a majority of its voters, or needs
 // more.
 TEST_CASE("a majority of the voters commits") {
-    constexpr std::array cases{size_case{1, 0, true}, size_case{3, 1, true}, size_case{3, 2, false},
-                               size_case{5, 2, true}, size_case{5, 3, false}};
+    constexpr std::array cases{size_case{1, 0, true},  size_case{3, 1, true},
+                               size_case{3, 2, false}, size_case{4, 1, true},
+                               size_case{4, 2, false}, size_case{5, 2, true},
+                               size_case{5, 3, false}};
     for (const auto& test : cases) {
         CAPTURE(test.hosts);
         CAPTURE(test.lost);
@@ -167,5 +205,91 @@
     CHECK(cluster.nodes[leader].members().voters.size() == 2);
 }
 
+enum class replacement : std::uint8_t {
+    planned,   ///< The new host starts, then the old one ends.
+    unplanned, ///< The old host is lost, then the new one starts.
+};
+
+struct replacement_case {
+    std::string_view name;
+    std::size_t hosts;
+    std::vector<replacement> replacements; ///< Of the hosts in the order of their age.
+};
+
+const std::array replacement_cases{
+    replacement_case{"planned, then lost", 3, {replacement::planned, replacement::unplanned}},
+    replacement_case{"lost, then planned", 3, {replacement::unplanned, replacement::planned}},
+    replacement_case{"all of three lost in turn",
+                     3,
+                     {replacement::unplanned, replacement::unplanned, replacement::unplanned}},
+    replacement_case{"all of three planned",
+                     3,
+                     {replacement::planned, replacement::planned, replacement::planned}},
+    replacement_case{"four of five lost in turn",
+                     5,
+                     {replacement::unplanned, replacement::unplanned, replacement::unplanned,
+                      replacement::unplanned}},
+};
+
+/// Time after which a replacement no longer counts as a lost host.
+constexpr core::duration_ms catch_up_time{6'000};
+
+/// Replaces `old` by a host that knows all others.
+void replace_host(small_cluster& cluster, std::size_t old, replacement how) {
+    cluster.settings.hosts = cluster.names_of(cluster.reachable());
+    cluster.settings.may_create_cluster = false;
+    if (how == replacement::planned) {
+        cluster.add_host();
+        cluster.run_for(core::duration_ms{3'000});
+    }
+    cluster.partitioned[old] = true;
+    if (how == replacement::unplanned) {
+        cluster.run_for(core::duration_ms{1'000});
+        cluster.add_host();
+    }
+    cluster.run_for(catch_up_time);
+}
+
+// Guards against hosts that are gone for good and still count as voters: after two replacements the
+// hosts that are left were no majority, and no change was accepted any more.
+TEST_CASE("hosts that are replaced in turn leave the voters") {
+    for (const auto& test : replacement_cases) {
+        CAPTURE(test.name);
+        small_cluster cluster{test.hosts};
+        cluster.run_for(join_time + test.hosts * core::duration_ms{1'000});
+        std::uint64_t committed = 0;
+        for (std::size_t old = 0; old < test.replacements.size(); ++old) {
+            CAPTURE(old);
+            replace_host(cluster, old, test.replacements[old]);
+            auto& leader = cluster.nodes[cluster.leader()];
+            const auto position = leader.propose(make_edit("e", 0));
+            REQUIRE(position.has_value());
+            cluster.run_for(2 * round_trip);
+            REQUIRE(leader.commit_index() >= position->index);
+            CHECK(leader.members().voters.size() == test.hosts);
+            for (const auto host : cluster.reachable()) {
+                CHECK(is_voter(leader.members(), cluster.disks[host]->state.self));
+            }
+            committed = position->index;
+        }
+        cluster.restart_all();
+        cluster.run_for(core::duration_ms{3'000});
+        CHECK(cluster.nodes[cluster.leader()].commit_index() >= committed);
+    }
+}
+
+// Guards against a voter that was removed during an outage and doesn't return to the voters.
+TEST_CASE("a voter that was removed while it was unreachable becomes a voter again") {
+    small_cluster cluster{4};
+    cluster.run_for(join_time + 4 * core::duration_ms{1'000});
+    const auto away = (cluster.leader() + 1) % 4;
+    cluster.partitioned[away] = true;
+    cluster.run_for(catch_up_time);
+    CHECK(cluster.nodes[cluster.leader()].members().voters.size() == 3);
+    cluster.partitioned[away] = false;
+    cluster.run_for(catch_up_time);
+    CHECK(cluster.nodes[cluster.leader()].members().voters.size() == 4);
+}
+
 } // namespace
 } // namespace hawthornstall::control
--- a/tests/hawthornstall/control/random_schedule_test.cpp
+++ b/tests/hawthornstall/control/random_schedule_test.cpp
@@ -49,6 +49,12 @@
     schedule{"partitioned leaders", {.crash_per_mille = 0, .partition_per_mille = 15}},
     schedule{"a disk is lost right after each repair",
              {.crash_per_mille = 1, .partition_per_mille = 0, .disk_loss_per_mille = 300}},
+    schedule{"a host is replaced by another right after each repair",
+             {.crash_per_mille = 1,
+              .partition_per_mille = 0,
+              .disk_loss_per_mille = 300,
+              .replaces_hosts = true}},
+    schedule{"all faults combined with replaced hosts", {.replaces_hosts = true}},
 };
 
 // Guards against edits that are lost, reverted or applied twice under combined faults, and against
