Forward join requests to the leader and send them to the voters of the log

A new control host never joined the log when its settings named only hosts that did not lead. Only the leader reads join requests, and they went only to the hosts of the settings. A voter that was removed while it was away had the same problem once the hosts of its settings had been replaced.

A member that knows its leader now passes a join request on to it. Only a request without a receiver's identity is passed on, and the forwarded one has it, so that no request circulates. A host that asks to join also asks the voters of its log. Joining adds a learner only, so that a request that comes twice or late changes no majority.

Tests: without the forwarding "a new host joins through any member that it knows" fails for "a follower" and "the other follower" (CHECK( false ) on is_voter); without the requests to the voters "a removed voter joins again although the hosts that it knew are gone" fails (CHECK( false ) on is_voter).

--- a/src/hawthornstall/control/consensus_messages.hpp
+++ b/src/hawthornstall/control/consensus_messages.hpp
@@ -65,7 +65,7 @@
     bool operator==(const snapshot_request&) const = default;
 };
 
-/// Asks the leader to add the sender as a learner.
+/// Asks the leader to add the sender as a learner. Another member forwards it to the leader.
 struct join_request {
     bool operator==(const join_request&) const = default;
 };
@@ -78,8 +78,8 @@
 struct peer_message {
     std::uint64_t cluster_id = 0;
     member_id from;
-    /// Receiver. Its `storage_id` is 0 in a join_request, because the receiver's identity is not
-    /// known yet.
+    /// Receiver. Its `storage_id` is 0 in a join_request that was not forwarded, because the
+    /// receiver's identity is not known yet.
     member_id to;
     peer_body body;
 
--- a/src/hawthornstall/control/consensus_node.hpp
+++ b/src/hawthornstall/control/consensus_node.hpp
@@ -95,6 +95,7 @@
     void handle(const member_id& from, const append_reply& reply, core::time_ms now);
     void handle(const member_id& from, const snapshot_request& request, core::time_ms now);
     void handle(const member_id& from, const join_request& request, core::time_ms now);
+    void forward_join(const peer_message& request);
 
     [[nodiscard]] bool is_for_this_member(const peer_message& message) const;
     [[nodiscard]] bool accept_entries(const append_request& request);
--- a/src/hawthornstall/control/detail/consensus_node_impl.hpp
+++ b/src/hawthornstall/control/detail/consensus_node_impl.hpp
@@ -39,6 +39,9 @@
     if (!failure_.ok() || !is_for_this_member(message)) {
         return;
     }
+    if (std::holds_alternative<join_request>(message.body)) {
+        forward_join(message);
+    }
     std::visit([&](const auto& body) { handle(message.from, body, now); }, message.body);
     if (cluster_id_ == 0 && election_.leader() == message.from) {
         cluster_id_ = message.cluster_id;
@@ -166,6 +169,19 @@
     }
 }
 
+/// Forwards a join request to the leader, whose host the sender may not know. Only a request
+/// without a receiver's identity is forwarded, so that it is forwarded at most once.
+template <log_storage Storage>
+void consensus_node<Storage>::forward_join(const peer_message& request) {
+    const auto& leader = election_.leader();
+    if (request.to.storage_id == 0 && leader && *leader != self() && request.from != *leader) {
+        auto forwarded = request;
+        forwarded.cluster_id = cluster_id_;
+        forwarded.to = *leader;
+        effects_.messages.push_back(std::move(forwarded));
+    }
+}
+
 template <log_storage Storage>
 std::optional<log_position> consensus_node<Storage>::propose(entry_payload change) {
     if (!is_leader() || !failure_.ok()) {
--- a/src/hawthornstall/control/detail/consensus_node_leader.hpp
+++ b/src/hawthornstall/control/detail/consensus_node_leader.hpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
+#include <string>
 
 namespace hawthornstall::control {
 
@@ -52,10 +54,14 @@
         return;
     }
     next_join_request_at_ = now + settings_.join_every;
-    for (const auto& host : settings_.hosts) {
-        if (host != self().host) {
-            send({.host = host, .storage_id = 0}, join_request{});
-        }
+    // The hosts in the settings may have been replaced, and the voters of a log that lags as well.
+    std::set<std::string> hosts{settings_.hosts.begin(), settings_.hosts.end()};
+    for (const auto& voter : members_.voters) {
+        hosts.insert(voter.host);
+    }
+    hosts.erase(self().host);
+    for (const auto& host : hosts) {
+        send({.host = host, .storage_id = 0}, join_request{});
     }
 }
 
--- a/tests/hawthornstall/control/consensus_node_test.cpp
+++ b/tests/hawthornstall/control/consensus_node_test.cpp
@@ -278,6 +278,29 @@
     }
 }
 
+struct known_host_case {
+    std::string_view name;
+    std::size_t after_leader; ///< Distance of the only known host from the leader.
+};
+
+// Guards against a new host that never joins because its settings name only hosts that don't lead.
+TEST_CASE("a new host joins through any member that it knows") {
+    constexpr std::array cases{known_host_case{"the leader", 0}, known_host_case{"a follower", 1},
+                               known_host_case{"the other follower", 2}};
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        small_cluster cluster{3};
+        cluster.run_for(join_time);
+        const std::array known{(cluster.leader() + test.after_leader) % 3};
+        cluster.settings.hosts = cluster.names_of(known);
+        cluster.settings.may_create_cluster = false;
+        cluster.add_host();
+        cluster.run_for(core::duration_ms{3'000});
+        const auto& members = cluster.nodes[cluster.leader()].members();
+        CHECK(is_voter(members, cluster.disks.back()->state.self));
+    }
+}
+
 // Guards against a voter that was removed during an outage and doesn't return to the voters.
 TEST_CASE("a voter that was removed while it was unreachable becomes a voter again") {
     small_cluster cluster{4};
@@ -291,5 +314,29 @@
     CHECK(cluster.nodes[cluster.leader()].members().voters.size() == 4);
 }
 
+// Guards against a removed voter that asks only the hosts of its settings, which have been
+// replaced.
+TEST_CASE("a removed voter joins again although the hosts that it knew are gone") {
+    small_cluster cluster{3};
+    cluster.run_for(join_time);
+    cluster.settings.hosts = {"control-0"};
+    cluster.settings.may_create_cluster = false;
+    cluster.add_host();
+    cluster.run_for(core::duration_ms{3'000});
+    constexpr std::size_t away = 3;
+    cluster.partitioned[0] = true;
+    cluster.run_for(catch_up_time);
+    cluster.settings.hosts = cluster.names_of(cluster.reachable());
+    cluster.add_host();
+    cluster.run_for(core::duration_ms{3'000});
+    cluster.partitioned[away] = true;
+    cluster.run_for(catch_up_time);
+    const auto self = cluster.disks[away]->state.self;
+    CHECK_FALSE(is_member(cluster.nodes[cluster.leader()].members(), self));
+    cluster.partitioned[away] = false;
+    cluster.run_for(catch_up_time);
+    CHECK(is_voter(cluster.nodes[cluster.leader()].members(), self));
+}
+
 } // namespace
 } // namespace hawthornstall::control
