Wait for three voters before the restart test loses a folder

"edits survive a restart of all control hosts" failed once, beside other builds: "one folder damaged" got no answer within its 60 s (CHECK( result.answer == test.answer ) is NOT correct), and the next case followed it.

The likely cause, of which the precondition was seen and the failing run was not: a run ended with the first answer, and a leader answers as soon as the voters at that time hold the edit. In one of six runs of a scratch copy that printed the members, the first case ended with "voters control-0, learners control-1 control-2". If control-1 is one of only two voters when its folder is damaged, no majority is left, as it must be.

Each case now also waits until all three hosts know three voters and no learner.

--- a/tests/hawthornstall/control/control_logic_test.cpp
+++ b/tests/hawthornstall/control/control_logic_test.cpp
@@ -10,10 +10,12 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hawthornstall::control {
@@ -45,8 +47,16 @@
     return options;
 }
 
-/// Starts three control hosts over the folders below `parent`, sends `edit` until it is answered,
-/// and stops the hosts.
+/// Whether `event` lists three voters and no learner.
+bool reports_three_voters(const control_event& event) {
+    constexpr std::string_view all_in_any_order = "voters control-0 control-1 control-2, learners ";
+    return event.what == control_event::kind::members_changed &&
+           event.detail.size() == all_in_any_order.size() && event.detail.ends_with("learners ");
+}
+
+/// Starts three control hosts over the folders below `parent`, sends `edit` until it is answered
+/// and all three know that all of them vote, and stops the hosts. With fewer voters the loss of a
+/// folder would leave no majority.
 cluster_result run_cluster(const std::string& parent, const edit_command& edit) {
     cluster_result result;
     runtime::event_loop loop;
@@ -56,10 +66,15 @@
     for (std::size_t index = 0; index < 3; ++index) {
         hosts.push_back({"control-" + std::to_string(index), addresses.at(index)});
     }
+    std::map<std::string, bool> complete; ///< Whether each host knows three voters.
     std::vector<std::unique_ptr<control_logic>> running;
     for (const auto& host : hosts) {
         running.push_back(std::make_unique<control_logic>(
-            make_options(parent, host, hosts, entry), [&result](const control_event& event) {
+            make_options(parent, host, hosts, entry),
+            [&result, &complete, name = host.name](const control_event& event) {
+                if (event.what == control_event::kind::members_changed) {
+                    complete[name] = reports_three_voters(event);
+                }
                 result.damaged_folders += event.what == control_event::kind::folder_damaged;
                 result.failures += event.what == control_event::kind::storage_failed;
             }));
@@ -72,7 +87,12 @@
         const auto* const reply = std::get_if<edit_reply>(&*message);
         if (reply != nullptr && reply->answer) {
             result.answer = reply->answer;
-            loop.stop();
+            const auto knows_all = [](const auto& entry) {
+                return entry.second;
+            };
+            if (complete.size() == hosts.size() && std::ranges::all_of(complete, knows_all)) {
+                loop.stop();
+            }
         }
     };
     net::peer_links links{loop,
