--- a/tests/platform/control_codec_test.cpp
+++ b/tests/platform/control_codec_test.cpp
@@ -51,5 +51,40 @@
     }
 }
 
+struct refused_heartbeat_case {
+    std::string_view name;
+    std::string_view body;
+    std::string_view expected; ///< JSON body of the answer.
+};
+
+// Guards against a target that is refused without a hint which of its fields is the cause.
+TEST_CASE("the answer to a refused heartbeat says which field is wrong") {
+    constexpr std::array cases{
+        refused_heartbeat_case{
+            "not JSON", "{", R"({"error":"the heartbeat names no target to use: not an object"})"},
+        refused_heartbeat_case{
+            "missing field", R"({"service":"s"})",
+            R"({"error":"the heartbeat names no target to use: address is missing"})"},
+        refused_heartbeat_case{
+            "port out of range",
+            R"({"service":"s","address":"10.0.0.1:65536","zone":"z","state":"ready",)"
+            R"("capacity":{},"sequence":1})",
+            R"({"error":"the heartbeat names no target to use: the address is not an IP address)"
+            R"( with a port from 1 to 65535"})"},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        net::http_request request;
+        request.method = "POST";
+        request.path = "/api/instances/i-7/heartbeat";
+        request.body = item.body;
+        const auto decoded = control_codec::decode(request);
+        REQUIRE(std::holds_alternative<control::gateway_answer>(decoded));
+        const auto& answer = std::get<control::gateway_answer>(decoded);
+        CHECK(answer.status == 400);
+        CHECK(answer.body == item.expected);
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::platform
