Test the monitoring server with an address that is in use

The test of a failed listen named an address in use as its example but tried only an address of another host. It is a table now, with a free address, one of another host, one on which another socket listens and a malformed one.

--- a/tests/hawthornstall/monitoring/monitoring_server_test.cpp
+++ b/tests/hawthornstall/monitoring/monitoring_server_test.cpp
@@ -1,5 +1,6 @@
 #include "hawthornstall/monitoring/monitoring_server.hpp"
 #include "hawthornstall/net/http_client.hpp"
+#include "support/loopback.hpp"
 
 #include <doctest/doctest.h>
 
@@ -8,6 +9,8 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 namespace hawthornstall::monitoring {
@@ -74,19 +77,55 @@
     }
 }
 
+/// A socket of another process that listens on a free loopback address.
+class foreign_listener {
+public:
+    foreign_listener() : descriptor_(testing::detail::bind_any_port(address_)) {
+        REQUIRE(listen(descriptor_, 1) == 0);
+    }
+    ~foreign_listener() { close(descriptor_); }
+    foreign_listener(const foreign_listener&) = delete;
+    foreign_listener& operator=(const foreign_listener&) = delete;
+    foreign_listener(foreign_listener&&) = delete;
+    foreign_listener& operator=(foreign_listener&&) = delete;
+
+    [[nodiscard]] const std::string& address() const noexcept { return address_; }
+
+private:
+    std::string address_;
+    int descriptor_;
+};
+
+struct listen_case {
+    std::string_view name;
+    std::string address;
+    bool is_served;
+};
+
 // Guards against a process that terminates because it cannot listen on the address of its metrics,
 // for example because another process uses it.
 TEST_CASE("a failure to listen is logged and the process continues") {
-    telemetry::event_metrics metrics{"entry"};
-    const auto stream = std::make_shared<std::ostringstream>();
-    {
-        telemetry::log_output output{stream, core::log_level::error};
-        runtime::event_loop loop;
-        monitoring_server server{"192.0.2.1:9464", nullptr, &metrics, &output};
-        server.attach(loop);
-        CHECK(server.address().empty());
+    const foreign_listener other;
+    const std::array cases{
+        listen_case{"free", "127.0.0.1:0", true},
+        listen_case{"not an address of this host", "192.0.2.1:9464", false},
+        listen_case{"in use", other.address(), false},
+        listen_case{"malformed", "127.0.0.1", false},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        telemetry::event_metrics metrics{"entry"};
+        const auto stream = std::make_shared<std::ostringstream>();
+        {
+            telemetry::log_output output{stream, core::log_level::error};
+            runtime::event_loop loop;
+            monitoring_server server{item.address, nullptr, &metrics, &output};
+            server.attach(loop);
+            CHECK(server.address().empty() != item.is_served);
+        }
+        const bool is_logged = stream->str().find("metrics_not_served") != std::string::npos;
+        CHECK(is_logged != item.is_served);
     }
-    CHECK(stream->str().find("metrics_not_served") != std::string::npos);
 }
 
 } // namespace
