--- a/tests/hawthornstall/control/control_logic_test.cpp
+++ b/tests/hawthornstall/control/control_logic_test.cpp
@@ -29,6 +29,13 @@
     std::optional<edit_answer> answer;
     int damaged_folders = 0;
     int failures = 0;
+    std::map<std::string, bool> knows_three_voters; ///< By host.
+
+    [[nodiscard]] bool all_vote() const {
+        return knows_three_voters.size() == 3 &&
+               std::ranges::all_of(knows_three_voters,
+                                   [](const auto& host) { return host.second; });
+    }
 };
 
 control_options make_options(const std::string& parent, const net::peer_endpoint& host,
@@ -50,8 +57,15 @@
 /// Whether `event` lists three voters and no learner.
 bool reports_three_voters(const control_event& event) {
     constexpr std::string_view all_in_any_order = "voters control-0 control-1 control-2, learners ";
-    return event.what == control_event::kind::members_changed &&
-           event.detail.size() == all_in_any_order.size() && event.detail.ends_with("learners ");
+    return event.detail.size() == all_in_any_order.size() && event.detail.ends_with("learners ");
+}
+
+void record(const std::string& host, const control_event& event, cluster_result& result) {
+    if (event.what == control_event::kind::members_changed) {
+        result.knows_three_voters[host] = reports_three_voters(event);
+    }
+    result.damaged_folders += event.what == control_event::kind::folder_damaged;
+    result.failures += event.what == control_event::kind::storage_failed;
 }
 
 /// Starts three control hosts over the folders below `parent`, sends `edit` until it is answered
@@ -66,17 +80,12 @@
     for (std::size_t index = 0; index < 3; ++index) {
         hosts.push_back({"control-" + std::to_string(index), addresses.at(index)});
     }
-    std::map<std::string, bool> complete; ///< Whether each host knows three voters.
     std::vector<std::unique_ptr<control_logic>> running;
     for (const auto& host : hosts) {
         running.push_back(std::make_unique<control_logic>(
             make_options(parent, host, hosts, entry),
-            [&result, &complete, name = host.name](const control_event& event) {
-                if (event.what == control_event::kind::members_changed) {
-                    complete[name] = reports_three_voters(event);
-                }
-                result.damaged_folders += event.what == control_event::kind::folder_damaged;
-                result.failures += event.what == control_event::kind::storage_failed;
+            [&result, name = host.name](const control_event& event) {
+                record(name, event, result);
             }));
         running.back()->attach(loop);
     }
@@ -87,10 +96,7 @@
         const auto* const reply = std::get_if<edit_reply>(&*message);
         if (reply != nullptr && reply->answer) {
             result.answer = reply->answer;
-            const auto knows_all = [](const auto& entry) {
-                return entry.second;
-            };
-            if (complete.size() == hosts.size() && std::ranges::all_of(complete, knows_all)) {
+            if (result.all_vote()) {
                 loop.stop();
             }
         }
