Wait for a killed control host before the test starts it again

The script sent SIGKILL and started the process again without waiting for the killed one, whose sockets the kernel closes only when it ends. The script now waits, as it does for the entry host that it kills; what it checks is unchanged.

--- a/tests/process/leased_path_test.bash
+++ b/tests/process/leased_path_test.bash
@@ -244,6 +244,7 @@
 
 echo "a control host restarts with an empty data folder and must not found a second cluster"
 kill -KILL "${PID[control-1]}"
+wait "${PID[control-1]}" 2>/dev/null || true
 rm -rf "$DIR/data-1"
 sed -i 's/"may_found": true/"may_found": false/' "$DIR/control-1.json"
 start control-1 hawthornstall-platform-control --settings "$DIR/control-1.json"
