--- a/src/hawthornstall/control/consensus_settings.hpp
+++ b/src/hawthornstall/control/consensus_settings.hpp
@@ -21,10 +21,9 @@
     /// length, before it starts an election. A member that has not seen a leader since its start
     /// waits for a quarter of it instead. Unsuccessful elections back off up to twice the timeout.
     core::duration_ms election_timeout{1'000};
-    /// A voter that has not replied to the leader for this time may be removed. It is shorter than
-    /// the 4 s after which the host that replaces a lost one counts as its equal, so that the next
-    /// loss finds the majority already adapted, and longer than the election timeout, after which a
-    /// leader without a majority has stepped down.
+    /// A voter that has not replied to the leader for this time may be removed. It is short, so
+    /// that the majority is adapted before another host is lost, and longer than the election
+    /// timeout, after which a leader without a majority has stepped down.
     core::duration_ms remove_silent_after{2'000};
     /// Interval at which a host that is not a member repeats its join request.
     core::duration_ms join_every{1'000};
