--- a/src/hawthornstall/control/control_logic.cpp
+++ b/src/hawthornstall/control/control_logic.cpp
@@ -29,6 +29,15 @@
     return number(source);
 }
 
+std::string names_of(std::span<const member_id> members) {
+    std::string names;
+    for (const auto& member : members) {
+        names += names.empty() ? "" : " ";
+        names += member.host;
+    }
+    return names;
+}
+
 std::string_view role_name(member_role role) {
     switch (role) {
     case member_role::leader:
@@ -99,7 +108,7 @@
 }
 
 void control_logic::process(const local_departure& input) {
-    relay_.leave(input.target, core::ms_clock::now());
+    relay_.leave(input.target, input.incarnation, core::ms_clock::now());
 }
 
 void control_logic::process(const control_hosts_changed& input) {
@@ -208,7 +217,10 @@
         [this](std::string_view peer, std::uint64_t /*incarnation*/, std::string_view body) {
             receive(peer, body);
         },
-        [this](std::string_view peer, bool reachable) { update_reachability(peer, reachable); });
+        [this](std::string_view peer, net::link_change change) {
+            net::report_reachability(change,
+                                     [&](bool reachable) { update_reachability(peer, reachable); });
+        });
     auto peers = options_.control_hosts;
     peers.insert(peers.end(), options_.entry_hosts.begin(), options_.entry_hosts.end());
     if (const auto status = links_->start(peers); !status.ok()) {
@@ -262,6 +274,15 @@
     }
 }
 
+void control_logic::report_members(const member_set& members) {
+    if (members != last_members_) {
+        last_members_ = members;
+        report_({control_event::kind::members_changed,
+                 "voters " + detail::names_of(members.voters) + ", learners " +
+                     detail::names_of(members.learners)});
+    }
+}
+
 void control_logic::receive(std::string_view peer, std::string_view body) {
     const auto now = core::ms_clock::now();
     // Messages that cannot be decoded are dropped: their senders resend on a timer.
@@ -345,6 +366,7 @@
         }
     }
     report_role(service_->replica().node().current_election().role());
+    report_members(service_->replica().node().members());
 }
 
 } // namespace hawthornstall::control
