Run the links between hosts on the event loop's own sockets

The socket was shared between the owning task and the threads of the library, which the shape of the code excludes.

Change: peer_dialer and peer_listener are libevent buffered sockets on the owning task's loop; messages are frames with a length. The state of a link (sessions, order, reachability) moves to link_state, which does no I/O. Envelopes also carry the times from which the receiver can tell when the sender certainly was alive; nothing uses them yet. nng, the thread that closes its sockets and its limit are gone. Processes of this and of earlier builds cannot talk to each other.

--- /dev/null
+++ b/src/hawthornstall/net/link_state.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+/// State of the link with one peer, independent of its connections: whether the peer is reachable,
+/// whether messages were lost, and when the peer certainly was alive. Does no I/O.
+
+#include "hawthornstall/core/ms_clock.hpp"
+#include "hawthornstall/net/peer_envelope.hpp"
+#include "hawthornstall/net/stream_check.hpp"
+
+#include <concepts>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::net {
+
+/// A change of a link.
+enum class link_change : std::uint8_t {
+    reachable,   ///< The peer can be reached.
+    unreachable, ///< The peer is silent, or it has restarted and lost its state.
+    interrupted, ///< The peer is reachable, but messages to or from it were lost.
+};
+
+/// Calls `report` with whether the peer is reachable: an interruption is a loss and a return.
+template <std::invocable<bool> Report> void report_reachability(link_change change, Report report) {
+    if (change != link_change::reachable) {
+        report(false);
+    }
+    if (change != link_change::unreachable) {
+        report(true);
+    }
+}
+
+/// What a received envelope means.
+struct reception {
+    bool accepted = false; ///< False for late envelopes, which must be ignored.
+    /// Whether the sender knew of all losses of the link that this process has reported. Work that
+    /// an earlier message asks for has been given up.
+    bool is_current = false;
+    std::vector<link_change> changes{}; ///< Changes of the link, in order; mostly none.
+};
+
+/// The end of a link in one process. Both ends learn of a loss: a process that drops its share of
+/// some joint work because it lost a peer relies on the peer to do the same.
+class link_state {
+public:
+    /// `incarnation` is that of this process.
+    explicit link_state(std::uint64_t incarnation) : incarnation_(incarnation) {}
+
+    /// Takes an envelope of the peer that arrived on `connection`. Connections that are accepted
+    /// later have larger numbers.
+    [[nodiscard]] reception receive(const peer_envelope& envelope, std::uint64_t connection,
+                                    core::time_ms now);
+
+    /// The envelope that carries `body` to the peer, as the next message of this end.
+    [[nodiscard]] peer_envelope next_envelope(std::string_view sender, envelope_kind kind,
+                                              std::string_view body, core::time_ms now);
+
+    /// Counts the peer as lost if it is reachable but has been silent for longer than `limit`.
+    /// Returns whether it was lost.
+    [[nodiscard]] bool lose_if_silent(core::duration_ms limit, core::time_ms now);
+
+    [[nodiscard]] bool reachable() const noexcept { return reachable_; }
+
+    /// When an envelope of the peer was last accepted; the epoch of the clock if never.
+    [[nodiscard]] core::time_ms last_heard() const noexcept { return last_heard_; }
+
+    /// Latest time, on this process's clock, at which the peer certainly was alive. An envelope can
+    /// arrive long after its sender has ended, so its arrival is no proof. The proof is the time at
+    /// which this process sent the envelope that the peer names as heard, and the time that the
+    /// peer has measured since.
+    [[nodiscard]] core::time_ms alive_at() const noexcept { return alive_at_; }
+
+    /// Earliest time on this process's clock that `peer_time` on the peer's clock can be. The epoch
+    /// of the clock while the peer has not heard this process.
+    [[nodiscard]] core::time_ms earliest_local_time(core::time_ms peer_time) const noexcept;
+
+private:
+    void start_session() noexcept;
+    void lose() noexcept;
+    void handle_verdict(stream_verdict verdict, reception& result);
+    void update_alive_at(const peer_envelope& envelope, core::time_ms now);
+
+    std::uint64_t incarnation_;
+    std::uint64_t session_ = 0;  ///< How often this process has lost the link.
+    std::uint64_t sequence_ = 0; ///< Data messages sent in this session.
+    stream_check received_;
+    bool reachable_ = false;
+    core::time_ms last_heard_{};
+    std::uint64_t heard_connection_ = 0;  ///< Latest one that carried an accepted envelope.
+    std::uint64_t heard_incarnation_ = 0; ///< Of the last accepted envelope.
+    std::uint64_t heard_session_ = 0;     ///< Of the last accepted envelope.
+    core::time_ms heard_sent_at_{};       ///< Of the last accepted envelope.
+    core::time_ms alive_at_{};
+    core::time_ms answered_sent_at_{};  ///< When the last envelope that the peer heard was sent.
+    core::time_ms answered_heard_at_{}; ///< When the peer heard it, on the peer's clock.
+};
+
+} // namespace hawthornstall::net
--- a/src/hawthornstall/net/peer_envelope.hpp
+++ b/src/hawthornstall/net/peer_envelope.hpp
@@ -2,6 +2,7 @@
 
 /// Message format of a link between two of the system's processes.
 
+#include "hawthornstall/core/ms_clock.hpp"
 #include "hawthornstall/wire/layout.hpp"
 
 #include <cstdint>
@@ -27,6 +28,10 @@
     std::uint64_t sequence = 0; ///< Number of data messages sent in this session, with this one.
     std::uint64_t heard_incarnation = 0; ///< Of the receiver, as the sender last heard it.
     std::uint64_t heard_session = 0;     ///< Of the receiver, as the sender last heard it.
+    core::time_ms sent_at{};             ///< On the sender's steady clock.
+    /// `sent_at` of the last envelope that the sender has received from the receiver.
+    core::time_ms heard_sent_at{};
+    core::time_ms heard_at{}; ///< When the sender received it, on the sender's steady clock.
 };
 
 } // namespace hawthornstall::net
@@ -38,14 +43,18 @@
 };
 
 template <> struct layout<net::peer_envelope> {
-    static constexpr auto members = std::tuple{&net::peer_envelope::sender,
-                                               &net::peer_envelope::incarnation,
-                                               &net::peer_envelope::kind,
-                                               &net::peer_envelope::body,
-                                               &net::peer_envelope::session,
-                                               &net::peer_envelope::sequence,
-                                               &net::peer_envelope::heard_incarnation,
-                                               &net::peer_envelope::heard_session};
+    using type = net::peer_envelope;
+    static constexpr auto members = std::tuple{&type::sender,
+                                               &type::incarnation,
+                                               &type::kind,
+                                               &type::body,
+                                               &type::session,
+                                               &type::sequence,
+                                               &type::heard_incarnation,
+                                               &type::heard_session,
+                                               &type::sent_at,
+                                               &type::heard_sent_at,
+                                               &type::heard_at};
 };
 
 } // namespace hawthornstall::wire
--- /dev/null
+++ b/src/hawthornstall/net/peer_listener.cpp
@@ -0,0 +1,93 @@
+#include "hawthornstall/net/peer_listener.hpp"
+
+#include "hawthornstall/core/error.hpp"
+#include "hawthornstall/net/frame.hpp"
+#include "hawthornstall/net/socket_address.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace hawthornstall::net {
+namespace detail {
+
+/// Connections that wait to be accepted. All peers connect at once after a restart.
+constexpr int peer_backlog = 1024;
+
+} // namespace detail
+
+void peer_listener::listener_deleter::operator()(evconnlistener* listener) const noexcept {
+    evconnlistener_free(listener);
+}
+
+absl::Status peer_listener::start(std::string_view address) {
+    const core::error_origin origin{.step = "listen_for_peers", .peer = address};
+    const auto parsed = parse_socket_address(address);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
+    constexpr unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE;
+    listener_.reset(evconnlistener_new_bind(loop_.base(), &peer_listener::on_accept, this, flags,
+                                            detail::peer_backlog, parsed->data(),
+                                            static_cast<int>(parsed->length)));
+    if (listener_ == nullptr) {
+        return core::make_error(absl::StatusCode::kUnavailable, origin, std::strerror(errno));
+    }
+    return absl::OkStatus();
+}
+
+void peer_listener::close_silent(core::duration_ms limit, core::time_ms now) {
+    std::erase_if(connections_,
+                  [&](const auto& item) { return now - item.second.last_read > limit; });
+}
+
+void peer_listener::on_accept(evconnlistener* /*listener*/, int descriptor, sockaddr* /*address*/,
+                              int /*length*/, void* argument) {
+    static_cast<peer_listener*>(argument)->add(descriptor);
+}
+
+void peer_listener::add(int descriptor) {
+    auto& added = connections_[++last_number_];
+    added.owner = this;
+    added.number = last_number_;
+    added.last_read = core::ms_clock::now();
+    added.socket = detail::make_buffered_socket(loop_.base(), descriptor);
+    bufferevent_setcb(added.socket.get(), &peer_listener::on_readable, nullptr,
+                      &peer_listener::on_event, &added);
+    bufferevent_enable(added.socket.get(), EV_READ);
+}
+
+void peer_listener::on_readable(bufferevent* /*socket*/, void* argument) {
+    auto& from = *static_cast<connection*>(argument);
+    from.last_read = core::ms_clock::now();
+    auto& self = *from.owner;
+    if (!self.read_messages(from)) {
+        self.connections_.erase(from.number);
+    }
+}
+
+bool peer_listener::read_messages(const connection& from) {
+    evbuffer* const input = bufferevent_get_input(from.socket.get());
+    for (;;) {
+        const auto next = first_frame(input);
+        if (next.status != frame_status::complete) {
+            return next.status == frame_status::incomplete;
+        }
+        if (!on_message_(from.number, next.message)) {
+            return false;
+        }
+        remove_frame(input, next);
+    }
+}
+
+void peer_listener::on_event(bufferevent* /*socket*/, short /*events*/, void* argument) {
+    // The peer has closed the connection or it has failed.
+    const auto& from = *static_cast<connection*>(argument);
+    from.owner->connections_.erase(from.number);
+}
+
+} // namespace hawthornstall::net
--- /dev/null
+++ b/src/hawthornstall/net/peer_listener.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+/// The incoming connections of a process's links.
+
+#include "hawthornstall/core/ms_clock.hpp"
+#include "hawthornstall/net/buffered_socket.hpp"
+#include "hawthornstall/runtime/event_loop.hpp"
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string_view>
+
+struct evconnlistener;
+struct sockaddr;
+
+namespace hawthornstall::net {
+
+/// Accepts connections and passes on the messages that arrive on them.
+class peer_listener {
+public:
+    /// Receives the number of the connection and a message, which is valid during the call only.
+    /// Connections are numbered from 1 in the order in which they are accepted. Returns whether the
+    /// connection may stay open.
+    using message_handler = std::function<bool(std::uint64_t, std::string_view)>;
+
+    /// `loop` must outlive this object.
+    peer_listener(runtime::event_loop& loop, message_handler on_message)
+        : loop_(loop), on_message_(std::move(on_message)) {}
+    ~peer_listener() = default;
+    peer_listener(const peer_listener&) = delete;
+    peer_listener& operator=(const peer_listener&) = delete;
+    peer_listener(peer_listener&&) = delete;
+    peer_listener& operator=(peer_listener&&) = delete;
+
+    /// Listens on `address`, "ip:port".
+    [[nodiscard]] absl::Status start(std::string_view address);
+
+    /// Closes connections on which nothing has arrived for longer than `limit`.
+    void close_silent(core::duration_ms limit, core::time_ms now);
+
+private:
+    struct listener_deleter {
+        void operator()(evconnlistener* listener) const noexcept;
+    };
+
+    /// An accepted connection.
+    struct connection {
+        peer_listener* owner = nullptr;
+        std::uint64_t number = 0;
+        detail::buffered_socket socket;
+        core::time_ms last_read{};
+    };
+
+    // Callbacks of libevent; `argument` is the peer_listener or the connection.
+    static void on_accept(evconnlistener* listener, int descriptor, sockaddr* address, int length,
+                          void* argument);
+    static void on_readable(bufferevent* socket, void* argument);
+    static void on_event(bufferevent* socket, short events, void* argument);
+
+    void add(int descriptor);
+    /// Passes on the complete messages of a connection. Returns whether it may stay open.
+    [[nodiscard]] bool read_messages(const connection& from);
+
+    runtime::event_loop& loop_;
+    message_handler on_message_;
+    std::unique_ptr<evconnlistener, listener_deleter> listener_;
+    std::uint64_t last_number_ = 0;
+    std::map<std::uint64_t, connection> connections_; ///< By number.
+};
+
+} // namespace hawthornstall::net
--- a/tests/hawthornstall/net/peer_links_test.cpp
+++ b/tests/hawthornstall/net/peer_links_test.cpp
@@ -1,5 +1,7 @@
 #include "hawthornstall/core/error.hpp"
+#include "hawthornstall/net/peer_dialer.hpp"
 #include "hawthornstall/net/peer_links.hpp"
+#include "hawthornstall/net/peer_listener.hpp"
 #include "hawthornstall/wire/codec.hpp"
 #include "support/loopback.hpp"
 
@@ -125,8 +127,10 @@
 TEST_CASE("a link whose messages do not reach the peer is replaced") {
     runtime::event_loop loop;
     const auto addresses = testing::free_addresses<3>();
-    detail::nng_socket_handle unread_listener;
-    REQUIRE(unread_listener.listen_pull(addresses[2]).ok());
+    peer_listener unread_listener{loop, [](std::uint64_t, std::string_view) {
+                                      return true;
+                                  }};
+    REQUIRE(unread_listener.start(addresses[2]).ok());
     node first{loop, "first", addresses[0]};
     node second{loop, "second", addresses[1]};
     REQUIRE(first.links.start(std::array{peer_endpoint{"second", addresses[2]}}).ok());
@@ -153,7 +157,7 @@
                      }};
     const std::array peers{peer_endpoint{.name = "second", .address = addresses[1]}};
     REQUIRE(links.start(peers).ok());
-    // Twenty intervals; closing a socket takes tens of ms on a busy machine.
+    // Twenty intervals.
     const auto end = loop.after(core::duration_ms{2'000}, [&] { loop.stop(); });
     loop.run();
     CHECK(links.counters().links_replaced >= 3);
@@ -200,16 +204,17 @@
 class scripted_peer {
 public:
     scripted_peer(runtime::event_loop& loop, const std::string& own_address,
-                  std::string_view peer_address) {
-        REQUIRE(listener_.listen_pull(own_address).ok());
-        REQUIRE(dialer_.dial_push(peer_address).ok());
-        received_ = loop.on_readable(listener_.receive_descriptor(), [this] {
-            while (const auto message = listener_.receive()) {
-                const auto envelope = wire::decode<peer_envelope>(message->body());
-                REQUIRE(envelope.ok());
-                told_session = envelope->session;
-            }
-        });
+                  std::string_view peer_address)
+        : listener_(loop,
+                    [this](std::uint64_t /*connection*/, std::string_view bytes) {
+                        const auto envelope = wire::decode<peer_envelope>(bytes);
+                        REQUIRE(envelope.ok());
+                        told_session = envelope->session;
+                        return true;
+                    }),
+          dialer_(loop, peer_address) {
+        REQUIRE(listener_.start(own_address).ok());
+        dialer_.replace_connection();
     }
 
     void send(envelope_kind kind, std::uint64_t session, std::uint64_t sequence,
@@ -229,9 +234,8 @@
     std::uint64_t told_session = 0;
 
 private:
-    detail::nng_socket_handle listener_;
-    detail::nng_socket_handle dialer_;
-    runtime::event_handle received_;
+    peer_listener listener_;
+    peer_dialer dialer_;
 };
 
 struct scripted_message {
