Ignore late messages of a killed process on its earlier connections

An envelope of another process than the last one heard is ignored if its connection is older. This does not compare start times, since the wall clock of the peer may step back.

Result: "a late envelope of a killed process does not interrupt the link to its successor" fails in two of its four rows without the rule (accepted, and a second loss) and passes with it.

--- a/src/hawthornstall/net/link_state.cpp
+++ b/src/hawthornstall/net/link_state.cpp
@@ -16,6 +16,11 @@
 
 reception link_state::receive(const peer_envelope& envelope, std::uint64_t connection,
                               core::time_ms now) {
+    // An envelope of a process that has ended can arrive after the first one of its successor, but
+    // only on a connection that was accepted earlier.
+    if (connection < heard_connection_ && envelope.incarnation != heard_incarnation_) {
+        return {};
+    }
     const auto verdict = received_.check({.incarnation = envelope.incarnation,
                                           .session = envelope.session,
                                           .sequence = envelope.sequence},
--- a/tests/hawthornstall/net/link_state_test.cpp
+++ b/tests/hawthornstall/net/link_state_test.cpp
@@ -25,6 +25,52 @@
             .heard_session = 0};
 }
 
+struct arrival {
+    std::uint64_t connection;
+    std::uint64_t incarnation;
+    std::uint64_t sequence;
+    bool accepted;
+};
+
+struct late_packet_case {
+    std::string_view name;
+    std::vector<arrival> arrivals;
+    std::vector<link_change> changes;
+};
+
+// Guards against the loss of the link to a process that has just started: an envelope of its
+// predecessor, which was killed, arrives late on a connection of the predecessor and would count as
+// a second restart.
+TEST_CASE("a late envelope of a killed process does not interrupt the link to its successor") {
+    using change = link_change;
+    const std::array cases{
+        late_packet_case{"the successor is heard last",
+                         {{1, 1, 1, true}, {2, 2, 1, true}},
+                         {change::reachable, change::unreachable, change::reachable}},
+        late_packet_case{"then a late envelope of the predecessor",
+                         {{1, 1, 1, true}, {2, 2, 1, true}, {1, 1, 2, false}, {2, 2, 2, true}},
+                         {change::reachable, change::unreachable, change::reachable}},
+        late_packet_case{"the predecessor's clock was ahead",
+                         {{1, 9, 1, true}, {2, 2, 1, true}, {1, 9, 2, false}, {2, 2, 2, true}},
+                         {change::reachable, change::unreachable, change::reachable}},
+        late_packet_case{"a second connection of the same process",
+                         {{1, 1, 1, true}, {2, 1, 2, true}, {1, 1, 3, true}},
+                         {change::reachable}},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        link_state state{own_incarnation};
+        std::vector<link_change> changes;
+        for (const auto& next : item.arrivals) {
+            const auto received = state.receive(make_envelope(next.incarnation, next.sequence),
+                                                next.connection, start_time);
+            CHECK(received.accepted == next.accepted);
+            changes.insert(changes.end(), received.changes.begin(), received.changes.end());
+        }
+        CHECK(changes == item.changes);
+    }
+}
+
 /// What a peer says of the times at which it heard this process and sent its envelope. The peer's
 /// clock reads 0 when this process's clock reads `start_time`.
 struct proof_case {
