Separate the decisions of an entry host from its sockets

Cause: dispatch_host decided what a lost link ends and owned the sockets, so no test without a network could play the loss of a host through front end, scheduler and lease holder together. The time budget of lost attempts needs such a test.

Change: dispatch_logic holds the three state machines, the view of the other hosts and the messages between them; dispatch_host decodes its inputs and carries out its effects. No decision changes. A call to a target that cannot be sent now schedules a flush; before, its consequences waited for the next input.

--- a/src/hawthornstall/runs/detail/dispatch_host_callers.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_callers.hpp
@@ -76,14 +76,14 @@
 
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::serve(arrived_request request, job_request&& job) {
-    const auto scheduler = hosts_.scheduler();
+    const auto scheduler = logic_.hosts().scheduler();
     report_({.name = "job_submitted",
              .id = job.id,
              .peer = scheduler.value_or(std::string{}),
              .detail = "deadline " + std::to_string(job.terms.deadline.count()) + " ms, run time " +
                        std::to_string(critical_path_time(job).count()) + " ms, configuration " +
                        std::to_string(routes_.version)});
-    front_end_.open(request.number, std::move(job), scheduler, request.at, now());
+    logic_.open(request.number, std::move(job), request.at, now());
     schedule_flush();
 }
 
@@ -107,7 +107,7 @@
 
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::answer_readiness(const net::http_request& request) {
-    const bool is_ready = routes_.version > 0 && !hosts_.self().leaving;
+    const bool is_ready = routes_.version > 0 && !logic_.hosts().self().leaving;
     (void)readiness_server_->answer(
         request.number,
         {.status = is_ready ? detail::ready_status : detail::not_ready_status, .body = "{}"});
--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -16,13 +16,6 @@
 /// Interval of the timer that drives all time-dependent decisions.
 constexpr core::duration_ms tick_interval{50};
 
-/// After a longer stall of this process, other hosts may have considered it lost and chosen another
-/// scheduler.
-constexpr core::duration_ms stall_limit{500};
-
-/// Longest interval between two presence messages to other entry hosts.
-constexpr core::duration_ms presence_interval{1'000};
-
 /// Longest interval between two hello messages to control hosts.
 constexpr core::duration_ms hello_interval{1'000};
 
@@ -32,33 +25,13 @@
 /// The shutdown ends this long before the grace time is over and the process would be killed.
 constexpr core::duration_ms exit_margin{300};
 
-/// Upper limit of runs, and of submissions of jobs, per millisecond on one host. Run keys and
-/// numbers of submissions count up from the incarnation times this, so two processes of a host
-/// never use the same one.
-constexpr std::uint64_t numbers_per_ms = 1'000;
-
-/// Name of the log record of a change of a link.
-constexpr std::string_view event_of(net::link_change change) {
-    switch (change) {
-    case net::link_change::reachable:
-        return "peer_reachable";
-    case net::link_change::interrupted:
-        return "peer_interrupted";
-    case net::link_change::unreachable:
-        break;
-    }
-    return "peer_unreachable";
-}
-
 } // namespace detail
 
 template <dispatch_codec Codec>
 dispatch_host<Codec>::dispatch_host(dispatch_options options, observer report)
     : options_(std::move(options)), report_(std::move(report)),
-      hosts_({.host = options_.host, .leaving = false, .held_targets = {}}),
-      front_end_(options_.self.incarnation * detail::numbers_per_ms),
-      scheduler_(options_.self.incarnation * detail::numbers_per_ms),
-      holder_(options_.bounds, options_.host_bits, core::ms_clock::now()) {}
+      logic_(options_.host, options_.bounds, options_.self.incarnation, options_.host_bits,
+             core::ms_clock::now()) {}
 
 template <dispatch_codec Codec> void dispatch_host<Codec>::attach(runtime::event_loop& loop) {
     loop_ = &loop;
@@ -86,7 +59,7 @@
         *loop_, options_.caller_address, options_.limits,
         [this](const net::http_request& request) { on_caller_request(request); });
     caller_server_->on_client_gone([this](std::uint64_t request) {
-        front_end_.caller_left(request, now());
+        logic_.caller_left(request, now());
         schedule_flush();
     });
     readiness_server_ = std::make_unique<net::http_server>(
@@ -107,9 +80,8 @@
 template <dispatch_codec Codec> void dispatch_host<Codec>::on_input(shutdown_request request) {
     on_shutdown_end_ = std::move(request.ended);
     leaving_since_ = now();
-    hosts_.self().leaving = true;
     report_({.name = "shutdown_started"});
-    send_presence();
+    logic_.leave(leaving_since_);
 }
 
 template <dispatch_codec Codec>
@@ -128,11 +100,11 @@
 status::status_rows dispatch_host<Codec>::rows_of(status::status_kind kind) const {
     switch (kind) {
     case status::status_kind::hosts:
-        return host_rows(hosts_);
+        return host_rows(logic_.hosts());
     case status::status_kind::targets:
-        return target_rows(directory_, holder_, hosts_);
+        return target_rows(logic_.directory(), logic_.holder(), logic_.hosts());
     case status::status_kind::jobs:
-        return scheduler_.rows(now());
+        return logic_.scheduler().rows(now());
     case status::status_kind::rollout:
         break;
     }
@@ -153,7 +125,7 @@
         receive_from_control(peer, body);
     } else if (auto messages = wire::decode<std::vector<run_message>>(body); messages.ok()) {
         for (auto& item : *messages) {
-            deliver(std::string{peer}, std::move(item));
+            logic_.receive(std::string{peer}, std::move(item), *links_, now());
         }
     } else {
         report_({.level = core::log_level::warning,
@@ -179,91 +151,28 @@
 
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::on_link_change(std::string_view peer, net::link_change change) {
-    const bool reachable = change == net::link_change::reachable;
-    report_({.level = reachable ? core::log_level::info : core::log_level::warning,
-             .name = detail::event_of(change),
-             .peer = std::string{peer}});
     if (is_control_host(peer)) {
+        report_(link_event(peer, change));
         if (change != net::link_change::unreachable) {
             send_control(peer, discovery::host_hello{options_.host, documents_.revision()});
         }
         return;
     }
-    if (change == net::link_change::unreachable) {
-        hosts_.unreachable(peer);
-        if (hosts_.others().empty()) {
-            hosts_.reset_own_role();
-        }
-    }
-    if (!reachable) {
-        end_joint_work(peer);
-    }
-    if (change != net::link_change::unreachable) {
-        scheduler_.host_reachable(peer);
-        send_presence();
-    }
+    logic_.link_changed(peer, change, now());
     schedule_flush();
 }
 
-/// Ends the jobs and runs that this host and `peer` work on together: each may have missed a
-/// message of the other about them.
-template <dispatch_codec Codec> void dispatch_host<Codec>::end_joint_work(std::string_view peer) {
-    holder_.scheduler_unreachable(peer, now());
-    holder_.front_end_unreachable(peer, now());
-    scheduler_.host_unreachable(peer, now());
-    front_end_.host_unreachable(peer, hosts_.scheduler(), now());
-    update_scheduler(now());
-}
-
 template <dispatch_codec Codec> void dispatch_host<Codec>::tick() {
     const auto time = now();
-    if (time - last_tick_ > detail::stall_limit) {
-        hosts_.reset_own_role();
-    }
-    last_tick_ = time;
     retry_early_requests(time - early_requests::max_wait);
-    directory_.tick(time);
-    update_scheduler(time);
-    front_end_.tick(time);
-    update_front_ends();
-    holder_.tick(directory_, hosts_, time, core::ms_clock::wall_now());
+    logic_.tick(*links_, time, core::ms_clock::wall_now());
     if (time >= hello_due_) {
         send_hellos();
     }
-    if (time >= presence_due_) {
-        send_presence();
-    }
     flush();
     finish_shutdown(time);
 }
 
-/// Tells the lease holder of this host which front ends are alive.
-template <dispatch_codec Codec> void dispatch_host<Codec>::update_front_ends() {
-    for (const auto& [name, alive_at] : holder_.front_ends().all()) {
-        const bool is_own = name == options_.self.name;
-        holder_.front_end_alive(name, is_own ? now() : links_->alive_at(name));
-    }
-}
-
-template <dispatch_codec Codec> void dispatch_host<Codec>::update_scheduler(core::time_ms time) {
-    const bool begins = hosts_.update_own_role(time);
-    const auto scheduler = hosts_.scheduler();
-    if (begins) {
-        scheduler_.start_scheduling();
-        send_presence();
-    } else if (scheduler != hosts_.self().host.name) {
-        scheduler_.stop_scheduling();
-    }
-    if (scheduler == last_scheduler_) {
-        return;
-    }
-    last_scheduler_ = scheduler;
-    report_({.name = "scheduler_chosen", .peer = scheduler.value_or(std::string{})});
-    if (scheduler) {
-        front_end_.scheduler_changed(*scheduler, time);
-    }
-}
-
 template <dispatch_codec Codec> void dispatch_host<Codec>::send_hellos() {
     hello_due_ = now() + detail::hello_interval;
     for (const auto& name : links_->reachable_peers()) {
@@ -273,17 +182,6 @@
     }
 }
 
-template <dispatch_codec Codec> void dispatch_host<Codec>::send_presence() {
-    presence_due_ = now() + detail::presence_interval;
-    hosts_.self().held_targets = holder_.held();
-    for (const auto& name : links_->reachable_peers()) {
-        if (!is_control_host(name)) {
-            outgoing_messages_[name].push_back(hosts_.self());
-        }
-    }
-    schedule_flush();
-}
-
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::subscribe(std::string_view control_host, std::uint64_t revision) {
     send_control(control_host, control::config_subscribe{.revision = revision});
@@ -304,67 +202,31 @@
     }
 }
 
-/// Carries out the effects of all state machines until no message to this host is left.
+/// Carries out what the logic has decided.
 template <dispatch_codec Codec> void dispatch_host<Codec>::flush() {
     is_flush_scheduled_ = false;
-    do {
-        while (!local_messages_.empty()) {
-            auto item = std::move(local_messages_.front());
-            local_messages_.pop_front();
-            deliver(options_.self.name, std::move(item.message));
-        }
-        scheduler_.place(now());
-        auto scheduled = scheduler_.take_effects();
-        for (const auto& event : scheduled.events) {
-            report_(
-                {.name = event.what, .id = event.job, .detail = event.detail, .age = event.age});
-        }
-        route(scheduled.messages);
-        auto held = holder_.take_effects();
-        for (const auto& [target, event] : held.events) {
-            report_({.name = event.what, .id = event.job, .peer = target, .detail = event.detail});
-        }
-        for (const auto& call : held.calls) {
-            call_target(call);
-        }
-        route(held.messages);
-        auto answered = front_end_.take_effects();
-        for (const auto& event : answered.events) {
-            report_({.name = event.what,
-                     .id = event.job,
-                     .peer = event.scheduler,
-                     .detail = event.detail});
-        }
-        for (const auto& answer : answered.answers) {
-            answer_caller(answer);
-        }
-        route(answered.messages);
-        if (held.held_changed) {
-            send_presence();
-        }
-    } while (!local_messages_.empty());
-    send_outgoing();
-}
-
-template <dispatch_codec Codec>
-void dispatch_host<Codec>::route(std::vector<addressed_message>& messages) {
-    for (auto& item : messages) {
-        if (item.host == options_.self.name) {
-            local_messages_.push_back(std::move(item));
-        } else {
-            outgoing_messages_[item.host].push_back(std::move(item.message));
-        }
+    const auto effects = logic_.take_effects(now());
+    for (const auto& event : effects.events) {
+        report_(event);
+    }
+    for (const auto& call : effects.calls) {
+        call_target(call);
+    }
+    for (const auto& answer : effects.answers) {
+        answer_caller(answer);
+    }
+    for (const auto& [host, messages] : effects.messages) {
+        send(host, messages);
     }
 }
 
-template <dispatch_codec Codec> void dispatch_host<Codec>::send_outgoing() {
-    for (const auto& [host, messages] : std::exchange(outgoing_messages_, {})) {
-        if (const auto status = links_->send(host, wire::encode(messages)); !status.ok()) {
-            report_({.level = core::log_level::warning,
-                     .name = "message_not_sent",
-                     .peer = host,
-                     .detail = core::describe(status)});
-        }
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::send(std::string_view host, const std::vector<run_message>& messages) {
+    if (const auto status = links_->send(host, wire::encode(messages)); !status.ok()) {
+        report_({.level = core::log_level::warning,
+                 .name = "message_not_sent",
+                 .peer = std::string{host},
+                 .detail = core::describe(status)});
     }
 }
 
@@ -399,12 +261,13 @@
                      .peer = call.target,
                      .age = age});
         }
-        holder_.answered(call, answer, now());
+        logic_.answered(call, answer, now());
         schedule_flush();
     };
     if (const auto status = client_->send(request, done); !status.ok()) {
-        holder_.answered(
+        logic_.answered(
             call, {.fault = call_fault::not_delivered, .reason = core::describe(status)}, now());
+        schedule_flush();
     }
 }
 
@@ -417,8 +280,7 @@
         closing_ = true;
         caller_server_->close([] {});
     }
-    const bool is_idle = closing_ && front_end_.idle() && scheduler_.idle() && holder_.idle() &&
-                         caller_server_->open_requests() == 0;
+    const bool is_idle = closing_ && logic_.idle() && caller_server_->open_requests() == 0;
     if (is_idle || since > options_.shutdown_grace - detail::exit_margin) {
         report_({.name = "shutdown_finished", .detail = is_idle ? "idle" : "grace time is over"});
         std::exchange(on_shutdown_end_, nullptr)();
--- a/src/hawthornstall/runs/dispatch_event_log.hpp
+++ b/src/hawthornstall/runs/dispatch_event_log.hpp
@@ -2,7 +2,7 @@
 
 /// Log records and metrics for the events of a dispatch host.
 
-#include "hawthornstall/runs/dispatch_options.hpp"
+#include "hawthornstall/runs/dispatch_event.hpp"
 #include "hawthornstall/telemetry/event_metrics.hpp"
 #include "hawthornstall/telemetry/logger.hpp"
 
--- a/src/hawthornstall/runs/dispatch_host.hpp
+++ b/src/hawthornstall/runs/dispatch_host.hpp
@@ -9,20 +9,16 @@
 #include "hawthornstall/net/http_server.hpp"
 #include "hawthornstall/net/peer_links.hpp"
 #include "hawthornstall/runs/dispatch_codec.hpp"
+#include "hawthornstall/runs/dispatch_event.hpp"
+#include "hawthornstall/runs/dispatch_logic.hpp"
 #include "hawthornstall/runs/dispatch_options.hpp"
 #include "hawthornstall/runs/early_requests.hpp"
-#include "hawthornstall/runs/job_front_end.hpp"
-#include "hawthornstall/runs/job_scheduler.hpp"
 #include "hawthornstall/runs/state_rows.hpp"
-#include "hawthornstall/runs/target_holder.hpp"
 #include "hawthornstall/runtime/event_loop.hpp"
 #include "hawthornstall/status/status_query.hpp"
 
-#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -41,8 +37,8 @@
     std::vector<std::string> control_hosts;
 };
 
-/// Runs the state machines of an entry host: decodes their inputs with `Codec`, carries out their
-/// effects, and exchanges messages with other entry hosts and control hosts.
+/// Carries out the decisions of dispatch_logic: decodes its inputs with `Codec`, makes the calls to
+/// targets, answers the callers, and exchanges messages with other entry hosts and control hosts.
 template <dispatch_codec Codec> class dispatch_host {
 public:
     /// Inputs from other threads of the process.
@@ -87,7 +83,6 @@
     void receive(std::string_view peer, std::string_view body);
     void receive_from_control(std::string_view host, std::string_view body);
     void on_link_change(std::string_view peer, net::link_change change);
-    void end_joint_work(std::string_view peer);
     void on_control_message(std::string_view host, const control::config_delta& delta);
     void on_control_message(std::string_view host, const control::config_digest& digest);
     void on_control_message(std::string_view host, const discovery::host_list& list);
@@ -95,30 +90,13 @@
     template <class Message>
     void on_control_message(std::string_view /*host*/, const Message& /*message*/) {}
 
-    void deliver(const std::string& from, run_message message);
-    void on_run_message(const std::string& from, submit_job&& message);
-    void on_run_message(const std::string& from, const cancel_job& message);
-    void on_run_message(const std::string& from, const job_ended& message);
-    void on_run_message(const std::string& from, const grant_run& message);
-    void on_run_message(const std::string& from, start_run message);
-    void on_run_message(const std::string& from, const stop_submission& message);
-    void on_run_message(const std::string& from, const stop_run& message);
-    void on_run_message(const std::string& from, const run_ended& message);
-    void on_run_message(const std::string& from, const target_report& message);
-    void on_run_message(const std::string& from, const host_presence& message);
-    void on_run_message(const std::string& from, const revoke_runs& message);
-
     void tick();
-    void update_front_ends();
-    void update_scheduler(core::time_ms now);
     void send_hellos();
-    void send_presence();
     void subscribe(std::string_view control_host, std::uint64_t revision);
     void send_control(std::string_view host, const control::entry_to_control& message);
     void schedule_flush();
     void flush();
-    void route(std::vector<addressed_message>& messages);
-    void send_outgoing();
+    void send(std::string_view host, const std::vector<run_message>& messages);
     void call_target(const target_call& call);
     void finish_shutdown(core::time_ms now);
     [[nodiscard]] bool is_control_host(std::string_view name) const;
@@ -136,18 +114,8 @@
     control::applied_documents documents_;
     route_table routes_;
     early_requests early_requests_;
-    discovery::target_directory directory_;
-    host_membership hosts_;
-    job_front_end front_end_;
-    job_scheduler scheduler_;
-    target_holder holder_;
-
-    std::map<std::string, std::vector<run_message>> outgoing_messages_;
-    std::deque<addressed_message> local_messages_;
-    std::optional<std::string> last_scheduler_;
-    core::time_ms last_tick_{};
+    dispatch_logic logic_;
     core::time_ms hello_due_{};
-    core::time_ms presence_due_{};
     std::function<void()> on_shutdown_end_; ///< Called at the end of a shutdown; empty before one.
     core::time_ms leaving_since_{};
     bool closing_ = false;
--- a/src/hawthornstall/runs/dispatch_options.hpp
+++ b/src/hawthornstall/runs/dispatch_options.hpp
@@ -1,8 +1,7 @@
 #pragma once
 
-/// Options and events of an entry host that runs jobs on leased targets.
+/// Options of an entry host that runs jobs on leased targets.
 
-#include "hawthornstall/core/log_level.hpp"
 #include "hawthornstall/core/ms_clock.hpp"
 #include "hawthornstall/discovery/host_record.hpp"
 #include "hawthornstall/net/http_server.hpp"
@@ -10,9 +9,7 @@
 #include "hawthornstall/runs/run_types.hpp"
 
 #include <cstdint>
-#include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace hawthornstall::runs {
@@ -31,14 +28,4 @@
     core::duration_ms shutdown_grace{6'000}; ///< Time limit of an orderly shutdown.
 };
 
-/// An event to be logged and counted.
-struct dispatch_event {
-    core::log_level level = core::log_level::info;
-    std::string_view name{}; ///< For example "job_ended".
-    std::string id{};        ///< Id of the job, if any.
-    std::string peer{};      ///< Host or target concerned, if any.
-    std::string detail{};
-    std::optional<core::duration_ms> age{}; ///< Age of the job or call, if any.
-};
-
 } // namespace hawthornstall::runs
