Play the time budget of lost attempts as one table

Change: time_budget_test plays four entry hosts, two targets with clocks that are 2 % slow and a caller on a virtual clock, with the real link_state and dispatch_logic. The run never ends by itself. What a killed process sent last arrives 600 ms late.

--- /dev/null
+++ b/tests/hawthornstall/runs/lost_host_simulation.cpp
@@ -0,0 +1,406 @@
+#include "hawthornstall/runs/lost_host_simulation.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace hawthornstall::runs {
+namespace {
+
+using core::duration_ms;
+
+constexpr core::time_ms simulation_start = core::from_count(1'000'000);
+constexpr core::time_ms wall_start = core::from_count(1'790'000'000'000);
+constexpr std::uint64_t incarnation = 1;
+
+/// By then the hosts know each other, hold the targets and have reported them.
+constexpr duration_ms warm_up{4'000};
+/// After the request; the caller has returned by then and its second run has started.
+constexpr duration_ms observed_time{3'200};
+
+constexpr duration_ms network_delay{1};
+/// Delay of what a process has sent shortly before it was killed: its kernel sends lost packets
+/// again.
+constexpr duration_ms late_packet_delay{600};
+constexpr duration_ms late_packet_span{400};
+
+constexpr duration_ms tick_interval{50};
+constexpr duration_ms ping_every{200};
+constexpr duration_ms silent_after{700};
+constexpr duration_ms caller_deadline{1'500};
+
+constexpr core::resources capacity{.cpu_millis = 64'000, .memory_mb = 1'000};
+constexpr core::resources task_size{.cpu_millis = 27'000, .memory_mb = 64};
+constexpr duration_ms never_done{600'000};
+constexpr double slow_clock = 0.98;
+
+constexpr std::string_view preferred_rack = "rack";
+const std::string front_end = "front-end";
+const std::string scheduler = "scheduler";
+const std::string holder = "holder";
+const std::string next_host = "next";
+
+discovery::target_record make_record(const std::string& id, bool is_preferred) {
+    discovery::target_record record{.id = id,
+                                    .incarnation = 1,
+                                    .sequence = 1,
+                                    .service = "restock",
+                                    .address = id + ":80",
+                                    .zone = "bilbao",
+                                    .labels = {},
+                                    .capacity = capacity};
+    if (is_preferred) {
+        record.labels.emplace_back(preferred_rack);
+    }
+    return record;
+}
+
+job_request make_job() {
+    job_request job;
+    job.id = "job";
+    job.steps.resize(1);
+    job.steps[0].resources = task_size;
+    job.steps[0].estimated = duration_ms{900};
+    job.steps[0].data_rack = preferred_rack;
+    job.terms = {.service = "restock",
+                 .max_attempts = 3,
+                 .stretch = 1.6,
+                 .latency_target = duration_ms{60},
+                 .deadline = caller_deadline};
+    return job;
+}
+
+} // namespace
+
+core::time_ms lost_host_simulation::host_links::alive_at(std::string_view peer) const {
+    const auto found = states.find(peer);
+    return found == states.end() ? core::time_ms{} : found->second.alive_at();
+}
+
+core::time_ms lost_host_simulation::host_links::earliest_local_time(std::string_view peer,
+                                                                    core::time_ms peer_time) const {
+    const auto found = states.find(peer);
+    return found == states.end() ? core::time_ms{} : found->second.earliest_local_time(peer_time);
+}
+
+lost_host_simulation::host_process::host_process(const std::string& name, const std::string& zone,
+                                                 double weight, core::time_ms now)
+    : logic({.name = name, .zone = zone, .weight = weight}, run_bounds{}, incarnation,
+            std::hash<std::string>{}(name), now) {}
+
+lost_host_simulation::lost_host_simulation(const loss_scenario& scenario)
+    : scenario_(scenario), now_(simulation_start), requested_at_(simulation_start + warm_up) {
+    constexpr double small = 0.25;
+    hosts_.try_emplace(front_end, front_end, "oviedo", small, now_);
+    hosts_.try_emplace(scheduler, scheduler, "oviedo", 1.0, now_);
+    hosts_.try_emplace(holder, holder, "bilbao", small, now_);
+    hosts_.try_emplace(next_host, next_host, "bilbao", small, now_);
+    choose_targets();
+    for (auto& [name, host] : hosts_) {
+        for (const auto& [peer, unused] : hosts_) {
+            if (peer != name) {
+                host.links.states.try_emplace(peer, incarnation);
+            }
+        }
+        for (const auto& [id, worker] : targets_) {
+            host.logic.directory().announce(make_record(id, id == target_), now_);
+        }
+    }
+}
+
+/// Chooses one target that the host "holder" holds and one that "next" holds.
+void lost_host_simulation::choose_targets() {
+    host_membership view{{.host = {.name = holder, .zone = "bilbao", .weight = 0.25}}};
+    view.on_presence({.host = {.name = next_host, .zone = "bilbao", .weight = 0.25}});
+    std::string other;
+    for (int number = 0; target_.empty() || other.empty(); ++number) {
+        const auto id = "w-" + std::to_string(number);
+        (view.preferred_holder(id, "bilbao") == holder ? target_ : other) = id;
+    }
+    for (const auto& id : {target_, other}) {
+        targets_.try_emplace(id, capacity, never_done, 5'000, slow_clock);
+    }
+}
+
+loss_outcome lost_host_simulation::run() {
+    while (since_request() < observed_time) {
+        step();
+        now_ += duration_ms{1};
+    }
+    return outcome_;
+}
+
+void lost_host_simulation::step() {
+    thaw();
+    deliver_packets();
+    deliver_calls();
+    act_as_caller();
+    const auto elapsed = now_ - simulation_start;
+    duration_ms phase{};
+    for (auto& [name, host] : hosts_) {
+        phase += duration_ms{11};
+        if (!is_running(name)) {
+            continue;
+        }
+        if (elapsed % ping_every == duration_ms{0}) {
+            check_links(name, host);
+        }
+        if ((elapsed + phase) % tick_interval == duration_ms{0}) {
+            host.logic.tick(host.links, now_, wall_start + elapsed);
+            host.has_input = true;
+        }
+        if (host.has_input) {
+            flush(name, host);
+        }
+    }
+    observe();
+}
+
+std::optional<lost_part> lost_host_simulation::part_of(std::string_view name) const {
+    if (name == front_end) {
+        return lost_part::front_end;
+    }
+    if (name == scheduler) {
+        return lost_part::scheduler;
+    }
+    if (name == holder) {
+        return lost_part::holder;
+    }
+    return name == target_ ? std::optional{lost_part::target} : std::nullopt;
+}
+
+bool lost_host_simulation::is_lost(lost_part part, loss_kind kind) const {
+    return scenario_.part == part && scenario_.kind == kind && since_request() >= scenario_.lost_at;
+}
+
+bool lost_host_simulation::is_frozen(lost_part part) const {
+    return is_lost(part, loss_kind::frozen) &&
+           since_request() < scenario_.lost_at + scenario_.frozen_for;
+}
+
+bool lost_host_simulation::is_running(std::string_view host) const {
+    const auto part = part_of(host);
+    return !part || !(is_lost(*part, loss_kind::killed) || is_lost(*part, loss_kind::dark) ||
+                      is_frozen(*part));
+}
+
+/// Whether a packet that is under way at this time can arrive.
+bool lost_host_simulation::is_path_up(std::string_view from, std::string_view to) const {
+    const auto sender = part_of(from);
+    const auto receiver = part_of(to);
+    const bool is_sender_cut =
+        sender && (is_lost(*sender, loss_kind::dark) || is_lost(*sender, loss_kind::cut_outgoing));
+    const bool is_receiver_cut =
+        receiver && (is_lost(*receiver, loss_kind::dark) || is_lost(*receiver, loss_kind::killed) ||
+                     is_lost(*receiver, loss_kind::cut_incoming));
+    return !is_sender_cut && !is_receiver_cut;
+}
+
+void lost_host_simulation::thaw() {
+    const auto part = scenario_.part;
+    const bool is_frozen_now = is_frozen(part);
+    if (!std::exchange(was_frozen_, is_frozen_now) || is_frozen_now) {
+        return;
+    }
+    for (auto& [name, host] : hosts_) {
+        if (part_of(name) != part) {
+            continue;
+        }
+        // The worst order: what depends on time comes before what has arrived meanwhile.
+        check_links(name, host);
+        host.logic.tick(host.links, now_, wall_start + (now_ - simulation_start));
+        flush(name, host);
+        for (const auto& item : std::exchange(host.unread, {})) {
+            receive(host, item);
+        }
+        for (const auto& item : std::exchange(host.unread_calls, {})) {
+            host.logic.answered(item.call, *item.answer, now_);
+        }
+        host.has_input = true;
+    }
+}
+
+void lost_host_simulation::deliver_packets() {
+    const auto due = std::stable_partition(packets_.begin(), packets_.end(),
+                                           [&](const packet& item) { return item.due > now_; });
+    const std::vector<packet> arrived{std::make_move_iterator(due),
+                                      std::make_move_iterator(packets_.end())};
+    packets_.erase(due, packets_.end());
+    for (const auto& item : arrived) {
+        auto& host = hosts_.at(item.to);
+        if (!is_path_up(item.from, item.to)) {
+            continue;
+        }
+        if (is_running(item.to)) {
+            receive(host, item);
+        } else {
+            host.unread.push_back(item);
+        }
+    }
+}
+
+void lost_host_simulation::receive(host_process& host, const packet& item) {
+    auto& state = host.links.states.at(item.from);
+    const auto received = state.receive(item.envelope, incarnation, now_);
+    host.has_input = true;
+    if (!received.accepted) {
+        return;
+    }
+    for (const auto change : received.changes) {
+        host.logic.link_changed(item.from, change, now_);
+    }
+    if (received.is_current) {
+        for (const auto& message : item.messages) {
+            host.logic.receive(item.from, message, host.links, now_);
+        }
+    }
+}
+
+void lost_host_simulation::check_links(const std::string& name, host_process& host) {
+    host.has_input = true;
+    for (auto& [peer, state] : host.links.states) {
+        if (state.lose_if_silent(silent_after, now_)) {
+            host.logic.link_changed(peer, net::link_change::unreachable, now_);
+        }
+        if (now_ - host.links.last_sent[peer] >= ping_every) {
+            send(name, peer, net::envelope_kind::ping, {});
+        }
+    }
+}
+
+void lost_host_simulation::flush(const std::string& name, host_process& host) {
+    host.has_input = false;
+    const auto effects = host.logic.take_effects(now_);
+    for (const auto& call : effects.calls) {
+        call_target(name, call);
+    }
+    for (const auto& answer : effects.answers) {
+        const bool is_first_attempt = name == front_end;
+        if (is_first_attempt && answer.result != job_result::completed) {
+            outcome_.caller_returns_at = std::min(
+                outcome_.caller_returns_at, since_request() + run_bounds{}.resubmission_delay);
+        }
+    }
+    for (const auto& [peer, messages] : effects.messages) {
+        if (host.links.states.at(peer).reachable()) {
+            send(name, peer, net::envelope_kind::data, messages);
+        }
+    }
+}
+
+void lost_host_simulation::send(const std::string& from, const std::string& to,
+                                net::envelope_kind kind, std::vector<run_message> messages) {
+    auto& links = hosts_.at(from).links;
+    links.last_sent[to] = now_;
+    packet item{.due = now_ + network_delay,
+                .from = from,
+                .to = to,
+                .envelope = links.states.at(to).next_envelope(from, kind, {}, now_),
+                .messages = std::move(messages)};
+    const bool ends_soon = scenario_.kind == loss_kind::killed && part_of(from) == scenario_.part &&
+                           since_request() + late_packet_span >= scenario_.lost_at;
+    if (ends_soon && kind == net::envelope_kind::ping) {
+        item.due += late_packet_delay;
+    }
+    packets_.push_back(std::move(item));
+}
+
+void lost_host_simulation::call_target(const std::string& host, const target_call& call) {
+    calls_.push_back({.due = now_ + network_delay, .host = host, .call = call, .answer = {}});
+}
+
+void lost_host_simulation::deliver_calls() {
+    const auto due = std::stable_partition(calls_.begin(), calls_.end(),
+                                           [&](const auto& item) { return item.due > now_; });
+    std::vector<pending_call> arrived{std::make_move_iterator(due),
+                                      std::make_move_iterator(calls_.end())};
+    calls_.erase(due, calls_.end());
+    for (auto& item : arrived) {
+        if (!item.answer) {
+            execute(item);
+            continue;
+        }
+        auto& host = hosts_.at(item.host);
+        if (is_running(item.host)) {
+            host.logic.answered(item.call, *item.answer, now_);
+            host.has_input = true;
+        } else if (is_frozen(part_of(item.host).value_or(lost_part::caller))) {
+            host.unread_calls.push_back(std::move(item));
+        }
+    }
+}
+
+/// Executes a call that has arrived at its target and sends the answer.
+void lost_host_simulation::execute(pending_call& item) {
+    const auto& call = item.call;
+    const bool is_stop = std::holds_alternative<stop_call>(call.request);
+    const bool is_executed = is_path_up(item.host, call.target) && is_running(call.target) &&
+                             (scenario_.stops_answered || !is_stop);
+    const auto unanswered_at = now_ - network_delay + call.timeout;
+    item.answer = call_answer{.fault = call_fault::unanswered, .reason = "no answer"};
+    item.due = unanswered_at;
+    if (is_executed) {
+        auto answer = targets_.at(call.target).execute(call, now_);
+        const auto* const listing = std::get_if<list_call>(&call.request);
+        const auto wait = listing == nullptr ? duration_ms{0} : listing->wait;
+        if (is_path_up(call.target, item.host)) {
+            // The answer to a long poll shows the end of its wait.
+            answer.clock_ms =
+                answer.clock_ms.value() +
+                static_cast<std::int64_t>(slow_clock * static_cast<double>(wait.count()));
+            item.answer = std::move(answer);
+            item.due = now_ + wait + network_delay;
+        }
+    }
+    calls_.push_back(std::move(item));
+}
+
+void lost_host_simulation::act_as_caller() {
+    if (since_request() == duration_ms{0}) {
+        outcome_.caller_returns_at = caller_deadline + run_bounds{}.resubmission_delay;
+        submit(front_end);
+    }
+    const bool leaves = is_lost(lost_part::caller, loss_kind::killed);
+    if (leaves && !std::exchange(caller_left_, true)) {
+        hosts_.at(front_end).logic.caller_left(1, now_);
+        hosts_.at(front_end).has_input = true;
+    }
+    if (leaves || is_lost(lost_part::front_end, loss_kind::killed)) {
+        // The connection is broken for the caller.
+        outcome_.caller_returns_at = std::min(outcome_.caller_returns_at,
+                                              scenario_.lost_at + run_bounds{}.resubmission_delay);
+    }
+    if (since_request() > duration_ms{0} && since_request() == outcome_.caller_returns_at &&
+        !std::exchange(submitted_again_, true)) {
+        submit(next_host);
+    }
+}
+
+void lost_host_simulation::submit(const std::string& through) {
+    auto& host = hosts_.at(through);
+    host.logic.open(1, make_job(), now_, now_);
+    host.has_input = true;
+}
+
+void lost_host_simulation::observe() {
+    int executing = 0;
+    for (auto& [id, worker] : targets_) {
+        const bool is_gone = id == target_ && (is_lost(lost_part::target, loss_kind::killed) ||
+                                               is_lost(lost_part::target, loss_kind::dark));
+        worker.advance(now_);
+        const auto running = is_gone ? std::vector<run_name>{} : worker.running();
+        executing += running.empty() ? 0 : 1;
+        auto& known = first_attempt_[id];
+        if (!submitted_again_) {
+            known.insert(running.begin(), running.end());
+        }
+        const auto is_first_attempt = [&](const run_name& run) { return known.contains(run); };
+        if (std::ranges::any_of(running, is_first_attempt)) {
+            outcome_.started = true;
+            outcome_.last_execution = since_request();
+        }
+    }
+    outcome_.overlapped = outcome_.overlapped || executing > 1;
+}
+
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/tests/hawthornstall/runs/lost_host_simulation.hpp
@@ -0,0 +1,134 @@
+#pragma once
+
+/// Four entry hosts, two targets and a caller on a virtual clock and a simulated network: the way
+/// of one job whose caller, hosts or target are lost.
+
+#include "hawthornstall/net/link_state.hpp"
+#include "hawthornstall/runs/dispatch_logic.hpp"
+#include "hawthornstall/runs/fake_worker.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornstall::runs {
+
+/// Who is lost. The four entry hosts have one role each.
+enum class lost_part : std::uint8_t { caller, front_end, scheduler, holder, target };
+
+/// How it is lost.
+enum class loss_kind : std::uint8_t {
+    killed,       ///< The process ends; what it has sent may arrive late.
+    dark,         ///< The machine loses power; what it has sent may be lost.
+    frozen,       ///< The process stands still for a while and goes on.
+    cut_outgoing, ///< Nothing that it sends arrives.
+    cut_incoming, ///< Nothing that is sent to it arrives.
+};
+
+/// One loss. All times count from the caller's request.
+struct loss_scenario {
+    lost_part part = lost_part::front_end;
+    loss_kind kind = loss_kind::killed;
+    bool stops_answered = true;        ///< Otherwise the targets neither execute nor answer stops.
+    core::duration_ms lost_at{};       ///< After the run has started.
+    core::duration_ms frozen_for{650}; ///< Of a frozen part.
+};
+
+/// What became of the run that was lost. All times count from the caller's request.
+struct loss_outcome {
+    bool started = false;
+    core::duration_ms caller_returns_at{}; ///< Earliest time of a second submission.
+    core::duration_ms last_execution{};    ///< Of the first attempt, on any target.
+    bool overlapped = false; ///< Two runs of the task executed on two targets at the same time.
+};
+
+/// Plays one scenario. The run never ends by itself, so it executes until the system or its lease
+/// ends it. The caller submits its job again as soon as it may, through another front end.
+class lost_host_simulation {
+public:
+    explicit lost_host_simulation(const loss_scenario& scenario);
+
+    [[nodiscard]] loss_outcome run();
+
+private:
+    /// The links of one process, as dispatch_logic sees them.
+    struct host_links {
+        [[nodiscard]] core::time_ms alive_at(std::string_view peer) const;
+        [[nodiscard]] core::time_ms earliest_local_time(std::string_view peer,
+                                                        core::time_ms peer_time) const;
+
+        std::map<std::string, net::link_state, std::less<>> states;
+        std::map<std::string, core::time_ms, std::less<>> last_sent;
+    };
+
+    /// A message between two hosts.
+    struct packet {
+        core::time_ms due{};
+        std::string from;
+        std::string to;
+        net::peer_envelope envelope;
+        std::vector<run_message> messages; ///< Content of a data envelope.
+    };
+
+    /// A call on its way to a target, or its answer on the way back.
+    struct pending_call {
+        core::time_ms due{};
+        std::string host;
+        target_call call;
+        std::optional<call_answer> answer; ///< Empty until the target has answered.
+    };
+
+    struct host_process {
+        host_process(const std::string& name, const std::string& zone, double weight,
+                     core::time_ms now);
+
+        dispatch_logic logic;
+        host_links links;
+        std::deque<packet> unread;             ///< Arrived while the process was frozen.
+        std::deque<pending_call> unread_calls; ///< Answers that arrived meanwhile.
+        bool has_input = false;
+    };
+
+    [[nodiscard]] bool is_lost(lost_part part, loss_kind kind) const;
+    [[nodiscard]] bool is_running(std::string_view host) const;
+    [[nodiscard]] bool is_frozen(lost_part part) const;
+    [[nodiscard]] bool is_path_up(std::string_view from, std::string_view to) const;
+    [[nodiscard]] std::optional<lost_part> part_of(std::string_view name) const;
+
+    void choose_targets();
+    void step();
+    void deliver_packets();
+    void receive(host_process& host, const packet& item);
+    void deliver_calls();
+    void execute(pending_call& item);
+    void thaw();
+    void check_links(const std::string& name, host_process& host);
+    void flush(const std::string& name, host_process& host);
+    void send(const std::string& from, const std::string& to, net::envelope_kind kind,
+              std::vector<run_message> messages);
+    void call_target(const std::string& host, const target_call& call);
+    void act_as_caller();
+    void submit(const std::string& front_end);
+    void observe();
+    [[nodiscard]] core::duration_ms since_request() const { return now_ - requested_at_; }
+
+    loss_scenario scenario_;
+    core::time_ms now_;
+    core::time_ms requested_at_;
+    std::map<std::string, host_process> hosts_;
+    std::map<std::string, fake_worker> targets_;
+    std::string target_; ///< The one that gets the first run.
+    std::vector<packet> packets_;
+    std::vector<pending_call> calls_;
+    std::map<std::string, std::set<run_name>> first_attempt_; ///< Its runs, by target.
+    bool caller_left_ = false;
+    bool submitted_again_ = false;
+    bool was_frozen_ = false;
+    loss_outcome outcome_;
+};
+
+} // namespace hawthornstall::runs
