--- a/tests/hawthornstall/runs/lost_host_simulation.cpp
+++ b/tests/hawthornstall/runs/lost_host_simulation.cpp
@@ -394,7 +394,9 @@
         if (!submitted_again_) {
             known.insert(running.begin(), running.end());
         }
-        const auto is_first_attempt = [&](const run_name& run) { return known.contains(run); };
+        const auto is_first_attempt = [&](const run_name& run) {
+            return known.contains(run);
+        };
         if (std::ranges::any_of(running, is_first_attempt)) {
             outcome_.started = true;
             outcome_.last_execution = since_request();
