--- a/src/hawthornstall/net/link_state.cpp
+++ b/src/hawthornstall/net/link_state.cpp
@@ -28,6 +28,9 @@
     if (verdict == stream_verdict::outdated) {
         return {};
     }
+    if (envelope.incarnation != heard_incarnation_) {
+        alive_ = {};
+    }
     reception result{.accepted = true};
     heard_connection_ = std::max(heard_connection_, connection);
     heard_incarnation_ = envelope.incarnation;
@@ -39,17 +42,13 @@
         reachable_ = true;
         result.changes.push_back(link_change::reachable);
     }
-    update_alive_at(envelope, now);
+    update_sign_of_life(envelope, now);
     result.is_current =
         envelope.heard_incarnation == incarnation_ && envelope.heard_session == session_;
     return result;
 }
 
 void link_state::handle_verdict(stream_verdict verdict, reception& result) {
-    if (verdict == stream_verdict::restarted) {
-        alive_at_ = {};
-        answered_sent_at_ = {};
-    }
     if (verdict == stream_verdict::in_order || !reachable_) {
         return;
     }
@@ -65,24 +64,18 @@
     result.changes.push_back(link_change::interrupted);
 }
 
-void link_state::update_alive_at(const peer_envelope& envelope, core::time_ms now) {
+void link_state::update_sign_of_life(const peer_envelope& envelope, core::time_ms now) {
     if (envelope.heard_incarnation != incarnation_ || envelope.heard_sent_at == core::time_ms{}) {
         return;
     }
-    answered_sent_at_ = envelope.heard_sent_at;
-    answered_heard_at_ = envelope.heard_at;
-    alive_at_ = std::max(alive_at_, std::min(earliest_local_time(envelope.sent_at), now));
-}
-
-core::time_ms link_state::earliest_local_time(core::time_ms peer_time) const noexcept {
-    if (answered_sent_at_ == core::time_ms{}) {
-        return {};
+    const auto measured = envelope.sent_at - envelope.heard_at - detail::rounding;
+    const auto certain = static_cast<double>(std::max(measured, core::duration_ms{}).count()) *
+                         (1.0 - detail::max_rate_difference);
+    const auto at =
+        envelope.heard_sent_at + core::duration_ms{static_cast<core::duration_ms::rep>(certain)};
+    if (at > alive_.at) {
+        alive_ = {.at = std::min(at, now), .peer_time = envelope.sent_at};
     }
-    const auto since = peer_time - answered_heard_at_ - detail::rounding;
-    const auto factor =
-        since.count() > 0 ? 1.0 - detail::max_rate_difference : 1.0 + detail::max_rate_difference;
-    return answered_sent_at_ + core::duration_ms{static_cast<core::duration_ms::rep>(
-                                   factor * static_cast<double>(since.count()))};
 }
 
 void link_state::start_session() noexcept {
--- a/src/hawthornstall/net/link_state.hpp
+++ b/src/hawthornstall/net/link_state.hpp
@@ -31,6 +31,12 @@
     }
 }
 
+/// A time at which a peer certainly was alive, on both clocks.
+struct sign_of_life {
+    core::time_ms at{};        ///< On this process's clock; the peer was alive then or later.
+    core::time_ms peer_time{}; ///< On the peer's clock.
+};
+
 /// What a received envelope means.
 struct reception {
     bool accepted = false; ///< False for late envelopes, which must be ignored.
@@ -65,21 +71,17 @@
     /// When an envelope of the peer was last accepted; the epoch of the clock if never.
     [[nodiscard]] core::time_ms last_heard() const noexcept { return last_heard_; }
 
-    /// Latest time, on this process's clock, at which the peer certainly was alive. An envelope can
-    /// arrive long after its sender has ended, so its arrival is no proof. The proof is the time at
-    /// which this process sent the envelope that the peer names as heard, and the time that the
-    /// peer has measured since.
-    [[nodiscard]] core::time_ms alive_at() const noexcept { return alive_at_; }
-
-    /// Earliest time on this process's clock that `peer_time` on the peer's clock can be. The epoch
-    /// of the clock while the peer has not heard this process.
-    [[nodiscard]] core::time_ms earliest_local_time(core::time_ms peer_time) const noexcept;
+    /// The latest sign of life of the peer's present process; the epochs of the clocks while the
+    /// peer has not heard this process. An envelope can arrive long after its sender has ended, so
+    /// its arrival is no proof. The proof is the time at which this process sent the envelope that
+    /// the peer names as heard, and the time that the peer has measured since.
+    [[nodiscard]] const sign_of_life& last_sign_of_life() const noexcept { return alive_; }
 
 private:
     void start_session() noexcept;
     void lose() noexcept;
     void handle_verdict(stream_verdict verdict, reception& result);
-    void update_alive_at(const peer_envelope& envelope, core::time_ms now);
+    void update_sign_of_life(const peer_envelope& envelope, core::time_ms now);
 
     std::uint64_t incarnation_;
     std::uint64_t session_ = 0;  ///< How often this process has lost the link.
@@ -91,9 +93,7 @@
     std::uint64_t heard_incarnation_ = 0; ///< Of the last accepted envelope.
     std::uint64_t heard_session_ = 0;     ///< Of the last accepted envelope.
     core::time_ms heard_sent_at_{};       ///< Of the last accepted envelope.
-    core::time_ms alive_at_{};
-    core::time_ms answered_sent_at_{};  ///< When the last envelope that the peer heard was sent.
-    core::time_ms answered_heard_at_{}; ///< When the peer heard it, on the peer's clock.
+    sign_of_life alive_;
 };
 
 } // namespace hawthornstall::net
--- a/src/hawthornstall/net/peer_links.cpp
+++ b/src/hawthornstall/net/peer_links.cpp
@@ -86,16 +86,9 @@
     return found != links_.end() && found->second.state.reachable();
 }
 
-core::time_ms peer_links::alive_at(std::string_view peer) const {
+sign_of_life peer_links::last_sign_of_life(std::string_view peer) const {
     const auto found = links_.find(peer);
-    return found == links_.end() ? core::time_ms{} : found->second.state.alive_at();
-}
-
-core::time_ms peer_links::earliest_local_time(std::string_view peer,
-                                              core::time_ms peer_time) const {
-    const auto found = links_.find(peer);
-    return found == links_.end() ? core::time_ms{}
-                                 : found->second.state.earliest_local_time(peer_time);
+    return found == links_.end() ? sign_of_life{} : found->second.state.last_sign_of_life();
 }
 
 bool peer_links::handle_message(std::uint64_t connection, std::string_view bytes) {
--- a/src/hawthornstall/net/peer_links.hpp
+++ b/src/hawthornstall/net/peer_links.hpp
@@ -93,13 +93,8 @@
 
     [[nodiscard]] bool is_reachable(std::string_view peer) const;
 
-    /// link_state::alive_at() of the link to `peer`; the epoch of the clock if there is none.
-    [[nodiscard]] core::time_ms alive_at(std::string_view peer) const;
-
-    /// link_state::earliest_local_time() of the link to `peer`; the epoch of the clock if there is
-    /// none.
-    [[nodiscard]] core::time_ms earliest_local_time(std::string_view peer,
-                                                    core::time_ms peer_time) const;
+    /// link_state::last_sign_of_life() of the link to `peer`; the epochs if there is none.
+    [[nodiscard]] sign_of_life last_sign_of_life(std::string_view peer) const;
 
     [[nodiscard]] const link_counters& counters() const noexcept { return counters_; }
 
--- a/src/hawthornstall/net/peer_listener.cpp
+++ b/src/hawthornstall/net/peer_listener.cpp
@@ -18,6 +18,10 @@
 /// Connections that wait to be accepted. All peers connect at once after a restart.
 constexpr int peer_backlog = 1024;
 
+/// Pause after a connection could not be accepted, for example for want of descriptors. It stays in
+/// the queue, so that the event loop would try again at once and for ever.
+constexpr core::duration_ms accept_pause{100};
+
 } // namespace detail
 
 void peer_listener::listener_deleter::operator()(evconnlistener* listener) const noexcept {
@@ -37,6 +41,7 @@
     if (listener_ == nullptr) {
         return core::make_error(absl::StatusCode::kUnavailable, origin, std::strerror(errno));
     }
+    evconnlistener_set_error_cb(listener_.get(), &peer_listener::on_accept_error);
     return absl::OkStatus();
 }
 
@@ -50,6 +55,13 @@
     static_cast<peer_listener*>(argument)->add(descriptor);
 }
 
+void peer_listener::on_accept_error(evconnlistener* listener, void* argument) {
+    auto& self = *static_cast<peer_listener*>(argument);
+    evconnlistener_disable(listener);
+    self.accept_again_event_ = self.loop_.after(
+        detail::accept_pause, [&self] { evconnlistener_enable(self.listener_.get()); });
+}
+
 void peer_listener::add(int descriptor) {
     auto& added = connections_[++last_number_];
     added.owner = this;
--- a/src/hawthornstall/net/peer_listener.hpp
+++ b/src/hawthornstall/net/peer_listener.hpp
@@ -58,6 +58,7 @@
     // Callbacks of libevent; `argument` is the peer_listener or the connection.
     static void on_accept(evconnlistener* listener, int descriptor, sockaddr* address, int length,
                           void* argument);
+    static void on_accept_error(evconnlistener* listener, void* argument);
     static void on_readable(bufferevent* socket, void* argument);
     static void on_event(bufferevent* socket, short events, void* argument);
 
@@ -68,6 +69,7 @@
     runtime::event_loop& loop_;
     message_handler on_message_;
     std::unique_ptr<evconnlistener, listener_deleter> listener_;
+    runtime::event_handle accept_again_event_;
     std::uint64_t last_number_ = 0;
     std::map<std::uint64_t, connection> connections_; ///< By number.
 };
--- a/src/hawthornstall/runs/detail/dispatch_host_callers.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_callers.hpp
@@ -56,7 +56,7 @@
     }
     std::visit(
         [&](auto& content) {
-            serve({request.number, arrived}, std::move(content));
+            serve({request.number, arrived, time}, std::move(content));
         },
         *decoded);
 }
@@ -83,7 +83,7 @@
              .detail = "deadline " + std::to_string(job.terms.deadline.count()) + " ms, run time " +
                        std::to_string(critical_path_time(job).count()) + " ms, configuration " +
                        std::to_string(routes_.version)});
-    logic_.open(request.number, std::move(job), request.at, now());
+    logic_.open(request.number, std::move(job), request.read_at, request.handled_at);
     schedule_flush();
 }
 
--- a/src/hawthornstall/runs/dispatch_host.hpp
+++ b/src/hawthornstall/runs/dispatch_host.hpp
@@ -57,10 +57,12 @@
     void handle(message input);
 
 private:
-    /// A caller's request: its number at the HTTP server and its time of arrival.
+    /// A caller's request: its number at the HTTP server, when it was read, and when it is handled,
+    /// which is later if it has waited for the configuration.
     struct arrived_request {
         std::uint64_t number = 0;
-        core::time_ms at{};
+        core::time_ms read_at{};
+        core::time_ms handled_at{};
     };
 
     void open_links();
--- a/src/hawthornstall/runs/dispatch_logic.cpp
+++ b/src/hawthornstall/runs/dispatch_logic.cpp
@@ -45,7 +45,7 @@
                                std::uint64_t incarnation, std::uint64_t host_bits,
                                core::time_ms now)
     : hosts_({.host = host, .leaving = false, .held_targets = {}}),
-      front_end_(incarnation * detail::numbers_per_ms),
+      front_end_(incarnation * detail::numbers_per_ms, now),
       scheduler_(incarnation * detail::numbers_per_ms), holder_(bounds, host_bits, now) {}
 
 void dispatch_logic::deliver(const std::string& from, run_message message, core::time_ms now) {
@@ -211,7 +211,7 @@
             auto message = std::move(local_messages_.front());
             local_messages_.pop_front();
             if (std::holds_alternative<start_run>(message)) {
-                holder_.front_end_alive(self(), now);
+                holder_.front_end_alive(self(), {now, now});
             }
             deliver(self(), std::move(message), now);
         }
--- a/src/hawthornstall/runs/dispatch_logic.hpp
+++ b/src/hawthornstall/runs/dispatch_logic.hpp
@@ -23,12 +23,10 @@
 
 namespace hawthornstall::runs {
 
-/// What the links of a host tell about the clocks of its peers; net::link_state says what the
-/// functions return.
+/// What the links of a host tell about the life of its peers; see net::link_state.
 template <class Links>
-concept peer_clocks = requires(const Links& links, std::string_view peer, core::time_ms time) {
-    { links.alive_at(peer) } -> std::same_as<core::time_ms>;
-    { links.earliest_local_time(peer, time) } -> std::same_as<core::time_ms>;
+concept peer_liveness = requires(const Links& links, std::string_view peer) {
+    { links.last_sign_of_life(peer) } -> std::same_as<net::sign_of_life>;
 };
 
 /// What an entry host has to do, collected since the last take_effects().
@@ -51,12 +49,11 @@
                    std::uint64_t host_bits, core::time_ms now);
 
     /// Takes a message of another entry host.
-    template <peer_clocks Links>
+    template <peer_liveness Links>
     void receive(const std::string& from, run_message message, const Links& links,
                  core::time_ms now) {
-        if (auto* const start = std::get_if<start_run>(&message)) {
-            start->caller_leaves_at = links.earliest_local_time(from, start->caller_leaves_at);
-            holder_.front_end_alive(from, links.alive_at(from));
+        if (std::holds_alternative<start_run>(message)) {
+            holder_.front_end_alive(from, links.last_sign_of_life(from));
         }
         deliver(from, std::move(message), now);
     }
@@ -65,15 +62,17 @@
     void link_changed(std::string_view peer, net::link_change change, core::time_ms now);
 
     /// Makes all decisions that depend on time.
-    template <peer_clocks Links>
+    template <peer_liveness Links>
     void tick(const Links& links, core::time_ms now, core::time_ms wall) {
-        for (const auto& [name, alive_at] : holder_.front_ends().all()) {
-            holder_.front_end_alive(name, name == self() ? now : links.alive_at(name));
+        for (const auto& [name, known] : holder_.front_ends().all()) {
+            holder_.front_end_alive(name, name == self() ? net::sign_of_life{now, now}
+                                                         : links.last_sign_of_life(name));
         }
         on_tick(now, wall);
     }
 
-    /// Takes a caller's job whose request was read at `arrived`.
+    /// Takes a caller's job whose request was read at `arrived`, which is `now` unless it has
+    /// waited for the configuration.
     void open(std::uint64_t request, job_request job, core::time_ms arrived, core::time_ms now);
     void caller_left(std::uint64_t request, core::time_ms now);
 
--- a/src/hawthornstall/runs/front_end_liveness.hpp
+++ b/src/hawthornstall/runs/front_end_liveness.hpp
@@ -3,8 +3,8 @@
 /// When the front ends that have started runs on this host's targets were alive.
 
 #include "hawthornstall/core/ms_clock.hpp"
+#include "hawthornstall/net/link_state.hpp"
 
-#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -12,29 +12,29 @@
 
 namespace hawthornstall::runs {
 
-/// Last times at which the front ends certainly were alive, on this host's clock. A caller whose
-/// front end has ended submits its job again, so no run may outlive its front end by much.
+/// The last signs of life of front ends. A caller whose front end has ended submits its job again,
+/// so no run may outlive its front end by much.
 class front_end_liveness {
 public:
-    /// Records that `host` was alive at `time`. An earlier time than the known one changes nothing.
-    void heard(std::string_view host, core::time_ms time) {
-        auto& known = alive_at_.try_emplace(std::string{host}).first->second;
-        known = std::max(known, time);
+    /// Records the last sign of life of `host`.
+    void update(std::string_view host, const net::sign_of_life& sign) {
+        signs_.insert_or_assign(std::string{host}, sign);
     }
 
-    /// Last time at which `host` certainly was alive; the epoch of the clock if it is not known.
-    [[nodiscard]] core::time_ms alive_at(std::string_view host) const {
-        const auto found = alive_at_.find(host);
-        return found == alive_at_.end() ? core::time_ms{} : found->second;
-    }
+    /// Last time on this host's clock at which `host` certainly was alive and a caller that leaves
+    /// at `caller_leaves_at`, on the clock of `host`, waited. The epoch if no sign of life is
+    /// known.
+    [[nodiscard]] core::time_ms last_served(std::string_view host,
+                                            core::time_ms caller_leaves_at) const;
 
-    /// Times by host.
-    [[nodiscard]] const std::map<std::string, core::time_ms, std::less<>>& all() const noexcept {
-        return alive_at_;
+    /// Signs of life by host.
+    [[nodiscard]] const std::map<std::string, net::sign_of_life, std::less<>>&
+    all() const noexcept {
+        return signs_;
     }
 
 private:
-    std::map<std::string, core::time_ms, std::less<>> alive_at_;
+    std::map<std::string, net::sign_of_life, std::less<>> signs_;
 };
 
 } // namespace hawthornstall::runs
--- a/src/hawthornstall/runs/job_front_end.cpp
+++ b/src/hawthornstall/runs/job_front_end.cpp
@@ -1,5 +1,6 @@
 #include "hawthornstall/runs/job_front_end.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace hawthornstall::runs {
@@ -27,6 +28,7 @@
                          core::time_ms now) {
     const auto number = ++last_number_;
     const auto deadline = arrived + job.terms.deadline;
+    const auto caller_leaves_at = earliest_arrival(arrived, now) + job.terms.deadline;
     const auto position =
         open_
             .emplace(number, open_job{.request = request,
@@ -35,7 +37,7 @@
                                       .scheduler = scheduler.value_or(""),
                                       .arrived = arrived,
                                       .expires_at = deadline + detail::answer_grace,
-                                      .caller_leaves_at = deadline - longest_reading_delay(now)})
+                                      .caller_leaves_at = caller_leaves_at})
             .first;
     if (scheduler) {
         submit(*position, now);
@@ -44,11 +46,14 @@
     }
 }
 
-/// Longest time for which a request can have waited to be read. The event loop reads all that has
-/// arrived between two ticks, so what it reads now has arrived after the tick before the last; that
-/// is long ago when the process was suspended since.
-core::duration_ms job_front_end::longest_reading_delay(core::time_ms now) const noexcept {
-    return tick_before_last_ == core::time_ms{} ? core::duration_ms{} : now - tick_before_last_;
+/// Earliest time at which a request can have arrived. The event loop reads all that has arrived
+/// between two ticks, so what it reads now has arrived after the tick before the last; that is long
+/// ago when the process was suspended since. A request that has waited for the configuration may
+/// have arrived at any time since the start of the process.
+core::time_ms job_front_end::earliest_arrival(core::time_ms read_at,
+                                              core::time_ms now) const noexcept {
+    const auto bound = read_at < now ? started_ : std::max(started_, tick_before_last_);
+    return bound == core::time_ms{} ? read_at : bound;
 }
 
 void job_front_end::submit(const open_map::value_type& item, core::time_ms now) {
--- a/src/hawthornstall/runs/job_front_end.hpp
+++ b/src/hawthornstall/runs/job_front_end.hpp
@@ -48,10 +48,12 @@
 public:
     /// Submissions count up from `first_number` + 1. `first_number` must be higher than all numbers
     /// of earlier processes of this host, since schedulers may still have submissions of theirs.
-    explicit job_front_end(std::uint64_t first_number = 0) : last_number_(first_number) {}
+    /// No request has arrived before `started`.
+    explicit job_front_end(std::uint64_t first_number = 0, core::time_ms started = {})
+        : last_number_(first_number), started_(started) {}
 
     /// Submits a job whose request was read at `arrived` to `scheduler`. Without a scheduler the
-    /// job is refused.
+    /// job is refused. `arrived` is `now` unless the request has waited for the configuration.
     void open(std::uint64_t request, job_request job, const std::optional<std::string>& scheduler,
               core::time_ms arrived, core::time_ms now);
 
@@ -105,7 +107,8 @@
     void resubmit(open_map::iterator position, const std::string& next, core::time_ms now);
     void reassign_or_finish(open_map::iterator position, const std::optional<std::string>& next,
                             core::time_ms now);
-    [[nodiscard]] core::duration_ms longest_reading_delay(core::time_ms now) const noexcept;
+    [[nodiscard]] core::time_ms earliest_arrival(core::time_ms read_at,
+                                                 core::time_ms now) const noexcept;
     [[nodiscard]] open_map::iterator find(std::string_view scheduler, std::uint64_t number);
     [[nodiscard]] bool is_up_to(open_map::iterator position, std::uint64_t last);
     open_map::iterator finish(open_map::iterator position, const job_ended& end, core::time_ms now);
@@ -114,6 +117,7 @@
     core::time_ms tick_before_last_{};
     open_map open_; ///< By the number of the present submission.
     std::uint64_t last_number_;
+    core::time_ms started_;
     front_end_effects effects_;
 };
 
--- a/src/hawthornstall/runs/target_holder.hpp
+++ b/src/hawthornstall/runs/target_holder.hpp
@@ -68,16 +68,15 @@
 public:
     target_holder(run_bounds bounds, std::uint64_t host_bits, core::time_ms now);
 
-    /// Records that a front end was alive at `time`, on this host's clock.
-    void front_end_alive(std::string_view front_end, core::time_ms time) {
-        front_ends_->heard(front_end, time);
+    /// Records the last sign of life of a front end.
+    void front_end_alive(std::string_view front_end, const net::sign_of_life& sign) {
+        front_ends_->update(front_end, sign);
     }
 
-    /// When the front ends that have started runs here were last alive.
+    /// The last signs of life of the front ends that have started runs here.
     [[nodiscard]] const front_end_liveness& front_ends() const noexcept { return *front_ends_; }
 
     /// Starts a run of `front_end` on a held target, or reports it as rejected.
-    /// `caller_leaves_at` is on this host's clock.
     void start(const std::string& front_end, const start_run& message, core::time_ms now);
 
     /// Stops the runs of a submission of a front end. Their starts cannot arrive later: both come
--- a/src/hawthornstall/runs/target_session.cpp
+++ b/src/hawthornstall/runs/target_session.cpp
@@ -183,6 +183,11 @@
     if (answer.clock_ms) {
         // The clock was read before the answer arrived, so the target's clock is never assumed to
         // be later than it is, and no lease lasts longer than assumed.
+        if (!target_clock_) {
+            // An earlier holder may have set the longest lease until now, and a lease never
+            // shortens.
+            lease_end_ = *answer.clock_ms + bounds_.longest_lease.count();
+        }
         target_clock_ = answer.clock_ms;
         target_clock_at_ = now;
     }
@@ -413,9 +418,8 @@
 
 /// Time by which a run must have ended, because its caller can submit the job again then.
 core::time_ms target_session::latest_end(const run_entry& entry) const {
-    const auto last_served =
-        std::min(front_ends_->alive_at(entry.front_end), entry.caller_leaves_at);
-    return latest_run_end(bounds_, last_served);
+    return latest_run_end(bounds_,
+                          front_ends_->last_served(entry.front_end, entry.caller_leaves_at));
 }
 
 bool target_session::has_unanswered_stop() const noexcept {
--- a/src/hawthornstall/runs/target_session.hpp
+++ b/src/hawthornstall/runs/target_session.hpp
@@ -63,7 +63,6 @@
                          core::time_ms now);
 
     /// Starts a run of `front_end`, or reports it as rejected if the target cannot take it.
-    /// `caller_leaves_at` is on this host's clock.
     void start(const std::string& front_end, const start_run& message, core::time_ms now);
 
     /// Stops a run. Returns false when the run is not known.
@@ -124,9 +123,9 @@
         run_name run{};
         core::resources resources{};
         std::string front_end{};
-        std::uint64_t submission = 0; ///< Number of the submission at the front end.
-        core::time_ms caller_leaves_at{};
-        bool was_seen = false; ///< The target has confirmed the start or listed the run.
+        std::uint64_t submission = 0;     ///< Number of the submission at the front end.
+        core::time_ms caller_leaves_at{}; ///< On the front end's clock.
+        bool was_seen = false;            ///< The target has confirmed the start or listed the run.
         phase state = phase::starting;
         core::time_ms started{};
         core::time_ms state_since{}; ///< When `state` was entered.
--- a/tests/hawthornstall/net/link_state_test.cpp
+++ b/tests/hawthornstall/net/link_state_test.cpp
@@ -127,11 +127,11 @@
         envelope.sent_at = core::time_ms{} + item.sent_at;
         REQUIRE(state.receive(envelope, 1, start_time + item.arrived_at).accepted);
         if (!item.expect_proof) {
-            CHECK(state.alive_at() == core::time_ms{});
+            CHECK(state.last_sign_of_life().at == core::time_ms{});
             continue;
         }
-        CHECK(state.alive_at() >= start_time + item.earliest);
-        CHECK(state.alive_at() <= start_time + item.latest);
+        CHECK(state.last_sign_of_life().at >= start_time + item.earliest);
+        CHECK(state.last_sign_of_life().at <= start_time + item.latest);
     }
 }
 
@@ -142,11 +142,11 @@
     envelope.heard_sent_at = start_time;
     envelope.heard_at = envelope.sent_at = core::from_count(5);
     REQUIRE(state.receive(envelope, 1, start_time + duration_ms{2}).accepted);
-    CHECK(state.alive_at() > core::time_ms{});
+    CHECK(state.last_sign_of_life().at > core::time_ms{});
     auto successor = make_envelope(2, 1);
     successor.heard_incarnation = 0;
     REQUIRE(state.receive(successor, 2, start_time + duration_ms{300}).accepted);
-    CHECK(state.alive_at() == core::time_ms{});
+    CHECK(state.last_sign_of_life().at == core::time_ms{});
 }
 
 // Guards against a sender whose envelopes name an older envelope than the last it has received.
--- a/tests/hawthornstall/runs/job_front_end_test.cpp
+++ b/tests/hawthornstall/runs/job_front_end_test.cpp
@@ -214,8 +214,9 @@
 
 struct reading_case {
     std::string_view name;
-    std::vector<duration_ms> ticks; ///< Before the request is read, after the start.
+    std::vector<duration_ms> ticks; ///< Before the request is handled, after the start.
     duration_ms read_at;
+    duration_ms handled_at;
     duration_ms caller_leaves_at; ///< As told to the lease holder, after the start.
 };
 
@@ -223,26 +224,36 @@
 // before it read the request and counts the deadline from the reading.
 TEST_CASE("a caller may have waited since the tick before the last when its request is read") {
     const std::array cases{
-        reading_case{"no tick yet", {}, duration_ms{0}, duration_ms{1'500}},
-        reading_case{
-            "in time", {duration_ms{0}, duration_ms{50}}, duration_ms{70}, duration_ms{1'500}},
+        reading_case{"no tick yet", {}, duration_ms{10}, duration_ms{10}, duration_ms{1'500}},
+        reading_case{"in time",
+                     {duration_ms{0}, duration_ms{50}},
+                     duration_ms{70},
+                     duration_ms{70},
+                     duration_ms{1'500}},
         reading_case{"after a suspension",
                      {duration_ms{0}, duration_ms{50}},
                      duration_ms{750},
+                     duration_ms{750},
                      duration_ms{1'500}},
         reading_case{"after a suspension and a tick",
                      {duration_ms{0}, duration_ms{50}, duration_ms{740}},
                      duration_ms{750},
+                     duration_ms{750},
                      duration_ms{1'550}},
+        reading_case{"waited for the configuration",
+                     {duration_ms{300}, duration_ms{350}, duration_ms{400}},
+                     duration_ms{310},
+                     duration_ms{410},
+                     duration_ms{1'500}},
     };
     for (const auto& item : cases) {
         CAPTURE(item.name);
-        job_front_end front_end;
+        job_front_end front_end{0, start_time};
         for (const auto tick : item.ticks) {
             front_end.tick(start_time + tick);
         }
-        const auto read_at = start_time + item.read_at;
-        front_end.open(70, small_job(), "s", read_at, read_at);
+        front_end.open(70, small_job(), "s", start_time + item.read_at,
+                       start_time + item.handled_at);
         CHECK(front_end.granted("s", grant_for(1)));
         for (const auto& sent : front_end.take_effects().messages) {
             if (const auto* const start = std::get_if<start_run>(&sent.message)) {
--- a/tests/hawthornstall/runs/lost_host_simulation.cpp
+++ b/tests/hawthornstall/runs/lost_host_simulation.cpp
@@ -72,15 +72,9 @@
 
 } // namespace
 
-core::time_ms lost_host_simulation::host_links::alive_at(std::string_view peer) const {
+net::sign_of_life lost_host_simulation::host_links::last_sign_of_life(std::string_view peer) const {
     const auto found = states.find(peer);
-    return found == states.end() ? core::time_ms{} : found->second.alive_at();
-}
-
-core::time_ms lost_host_simulation::host_links::earliest_local_time(std::string_view peer,
-                                                                    core::time_ms peer_time) const {
-    const auto found = states.find(peer);
-    return found == states.end() ? core::time_ms{} : found->second.earliest_local_time(peer_time);
+    return found == states.end() ? net::sign_of_life{} : found->second.last_sign_of_life();
 }
 
 lost_host_simulation::host_process::host_process(const std::string& name, const std::string& zone,
--- a/tests/hawthornstall/runs/lost_host_simulation.hpp
+++ b/tests/hawthornstall/runs/lost_host_simulation.hpp
@@ -59,9 +59,7 @@
 private:
     /// The links of one process, as dispatch_logic sees them.
     struct host_links {
-        [[nodiscard]] core::time_ms alive_at(std::string_view peer) const;
-        [[nodiscard]] core::time_ms earliest_local_time(std::string_view peer,
-                                                        core::time_ms peer_time) const;
+        [[nodiscard]] net::sign_of_life last_sign_of_life(std::string_view peer) const;
 
         std::map<std::string, net::link_state, std::less<>> states;
         std::map<std::string, core::time_ms, std::less<>> last_sent;
--- a/tests/hawthornstall/runs/target_holder_test.cpp
+++ b/tests/hawthornstall/runs/target_holder_test.cpp
@@ -193,7 +193,7 @@
         if (item.revoked_key > 0) {
             holder.revoke("s", {.last_key = item.revoked_key}, now);
         }
-        holder.front_end_alive("f", now);
+        holder.front_end_alive("f", {.at = now, .peer_time = now});
         holder.start("f", {.scheduler = "s", .key = 5, .target = "w-1", .caller_leaves_at = now},
                      now);
         const auto calls = holder.take_effects().calls;
--- a/tests/hawthornstall/runs/target_session_test.cpp
+++ b/tests/hawthornstall/runs/target_session_test.cpp
@@ -36,11 +36,16 @@
 /// Later than the end of any test.
 constexpr core::time_ms far_future = start_time + duration_ms{1'000'000};
 
+/// A sign of life of a front end whose clock shows the same time as the holder's.
+net::sign_of_life alive_at(core::time_ms time) {
+    return {.at = time, .peer_time = time};
+}
+
 /// A front end that stays alive.
 const front_end_liveness& live_front_ends() {
     static const front_end_liveness front_ends = [] {
         front_end_liveness result;
-        result.heard(front_end, far_future);
+        result.update(front_end, alive_at(far_future));
         return result;
     }();
     return front_ends;
@@ -63,7 +68,7 @@
     explicit session_fixture(duration_ms run_time = duration_ms{200}, double clock_rate = 1.0)
         : worker(two_tasks, run_time, 77'000, clock_rate),
           session(make_record(), 10, run_bounds{}, front_ends, start_time) {
-        front_ends.heard(front_end, far_future);
+        front_ends.update(front_end, alive_at(far_future));
         deliver();
     }
 
@@ -398,13 +403,14 @@
         const auto started = fixture.now;
         auto message = make_start_run(1, 0);
         message.caller_leaves_at = started + item.caller_leaves_at;
-        fixture.front_ends.heard("other", far_future);
-        fixture.front_ends.heard("ending", started);
+        fixture.front_ends.update("other", alive_at(far_future));
+        fixture.front_ends.update("ending", alive_at(started));
         fixture.session.start("ending", message, fixture.now);
         fixture.deliver();
         const auto caller_returns = started + silent_after + run_bounds{}.resubmission_delay;
         for (std::uint64_t key = 2; fixture.now < caller_returns; ++key) {
-            fixture.front_ends.heard("ending", std::min(fixture.now, started + item.last_alive));
+            fixture.front_ends.update("ending",
+                                      alive_at(std::min(fixture.now, started + item.last_alive)));
             if (item.start_another) {
                 fixture.session.start("other", make_start_run(key, static_cast<std::uint32_t>(key)),
                                       fixture.now);
