--- a/tests/hawthornstall/net/link_state_test.cpp
+++ b/tests/hawthornstall/net/link_state_test.cpp
@@ -149,6 +149,22 @@
     CHECK(state.alive_at() == core::time_ms{});
 }
 
+// Guards against times of a new process that are converted by what its predecessor, on a machine
+// with another clock, has said: the deadline of a caller would be taken for a much later one.
+TEST_CASE("a peer that restarts while it is silent cannot be converted by its predecessor's clock") {
+    link_state state{own_incarnation};
+    auto envelope = make_envelope(1, 1);
+    envelope.heard_sent_at = start_time;
+    envelope.heard_at = envelope.sent_at = core::from_count(5);
+    REQUIRE(state.receive(envelope, 1, start_time + duration_ms{2}).accepted);
+    REQUIRE(state.lose_if_silent(duration_ms{700}, start_time + duration_ms{900}));
+    auto successor = make_envelope(2, 1);
+    successor.heard_incarnation = 0;
+    successor.sent_at = core::from_count(90'000'000);
+    REQUIRE(state.receive(successor, 2, start_time + duration_ms{1'000}).accepted);
+    CHECK(state.earliest_local_time(successor.sent_at) == core::time_ms{});
+}
+
 // Guards against a sender whose envelopes name an older envelope than the last it has received.
 TEST_CASE("an envelope names the last envelope that was received and when") {
     link_state first{1};
--- a/tests/hawthornstall/net/peer_restart_test.cpp
+++ b/tests/hawthornstall/net/peer_restart_test.cpp
@@ -1,12 +1,19 @@
 #include "hawthornstall/net/peer_links.hpp"
+#include "hawthornstall/net/peer_listener.hpp"
+#include "hawthornstall/net/socket_address.hpp"
 #include "support/loopback.hpp"
 
 #include <doctest/doctest.h>
 
 #include <array>
 #include <atomic>
+#include <ctime>
+#include <fcntl.h>
 #include <string>
+#include <sys/resource.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 namespace hawthornstall::net {
 namespace {
@@ -74,5 +81,39 @@
     CHECK(started == pairs * restarts);
 }
 
+/// Processor time of this thread.
+core::duration_ms thread_time() {
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    constexpr std::int64_t ms_per_second = 1'000;
+    constexpr std::int64_t ns_per_ms = 1'000'000;
+    return core::duration_ms{time.tv_sec * ms_per_second + time.tv_nsec / ns_per_ms};
+}
+
+// Guards against a process that uses a whole core, and writes a warning in each iteration of its
+// event loop, while it has no descriptor left for a connection that waits to be accepted.
+TEST_CASE("a listener without descriptors does not spin") {
+    runtime::event_loop loop;
+    peer_listener listener{loop, [](std::uint64_t, std::string_view) { return true; }};
+    const auto address = testing::free_addresses<1>().front();
+    REQUIRE(listener.start(address).ok());
+    const auto parsed = parse_socket_address(address);
+    REQUIRE(parsed.ok());
+    const auto end = loop.after(core::duration_ms{300}, [&loop] { loop.stop(); });
+    const int client = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    REQUIRE(client >= 0);
+    REQUIRE(connect(client, parsed->data(), static_cast<socklen_t>(parsed->length)) == 0);
+    rlimit known{};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &known) == 0);
+    const rlimit none{.rlim_cur = 0, .rlim_max = known.rlim_max};
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+    const auto before = thread_time();
+    loop.run();
+    const auto used = thread_time() - before;
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &known) == 0);
+    close(client);
+    CHECK(used.count() < 100);
+}
+
 } // namespace
 } // namespace hawthornstall::net
--- a/tests/hawthornstall/runs/job_front_end_test.cpp
+++ b/tests/hawthornstall/runs/job_front_end_test.cpp
@@ -217,6 +217,7 @@
     std::vector<duration_ms> ticks; ///< Before the request is read, after the start.
     duration_ms read_at;
     duration_ms caller_leaves_at; ///< As told to the lease holder, after the start.
+    std::vector<duration_ms> later_ticks{}; ///< Between the reading and the opening.
 };
 
 // Guards against a run that outlives what its caller waits, because the front end was suspended
@@ -234,6 +235,15 @@
                      {duration_ms{0}, duration_ms{50}, duration_ms{740}},
                      duration_ms{750},
                      duration_ms{1'550}},
+        reading_case{"read after a suspension, kept until the configuration has arrived",
+                     {duration_ms{0}, duration_ms{50}},
+                     duration_ms{750},
+                     duration_ms{1'500},
+                     {duration_ms{750}, duration_ms{800}, duration_ms{850}}},
+        reading_case{"read after a suspension between the first two ticks",
+                     {duration_ms{0}},
+                     duration_ms{750},
+                     duration_ms{1'500}},
     };
     for (const auto& item : cases) {
         CAPTURE(item.name);
@@ -242,7 +252,12 @@
             front_end.tick(start_time + tick);
         }
         const auto read_at = start_time + item.read_at;
-        front_end.open(70, small_job(), "s", read_at, read_at);
+        for (const auto tick : item.later_ticks) {
+            front_end.tick(start_time + tick);
+        }
+        const auto opened_at =
+            item.later_ticks.empty() ? read_at : start_time + item.later_ticks.back();
+        front_end.open(70, small_job(), "s", read_at, opened_at);
         CHECK(front_end.granted("s", grant_for(1)));
         for (const auto& sent : front_end.take_effects().messages) {
             if (const auto* const start = std::get_if<start_run>(&sent.message)) {
