Add a failing test of a start on a restarted target

The answer to a start does not name the target's process, so the session repeats the lease of the old clock in listings, which the new process takes for the longest lease: the run executes 1.3 s after the front end has ended.

--- a/tests/hawthornstall/runs/target_session_test.cpp
+++ b/tests/hawthornstall/runs/target_session_test.cpp
@@ -444,6 +444,50 @@
     CHECK(fixture.worker.running().empty());
 }
 
+// Guards against a lease on the clock of an ended process: a target that restarts under its id has
+// a new clock, and what it answers to a start does not name the process.
+TEST_CASE("no run outlives what its caller waits on a target that restarts before its start") {
+    session_fixture fixture{duration_ms{60'000}};
+    fixture.session.start(front_end, make_start_run(1, 0), fixture.now);
+    fixture.deliver();
+    REQUIRE(fixture.session.stop({"s", 1}, fixture.now));
+    fixture.now += duration_ms{1};
+    fixture.deliver();
+    fixture.run_for(duration_ms{300});
+    REQUIRE(fixture.session.idle());
+    REQUIRE_FALSE(fixture.waiting);
+    // The clock of the new process starts at about 100 ms.
+    fake_worker restarted{two_tasks, duration_ms{60'000}, 100 - core::to_count(fixture.now)};
+    restarted.incarnation = 2;
+    const auto last_alive = fixture.now;
+    fixture.front_ends.heard("ending", last_alive);
+    fixture.session.start("ending", make_start_run(2, 1), fixture.now);
+    // The start is answered; answers to listings are lost.
+    std::vector<std::pair<core::time_ms, target_call>> lost;
+    const auto caller_returns = last_alive + run_bounds{}.resubmission_delay;
+    for (; fixture.now < caller_returns; fixture.now += duration_ms{1}) {
+        fixture.session.tick(fixture.now);
+        for (const auto& call : fixture.session.take_effects().calls) {
+            auto answer = restarted.execute(call, fixture.now);
+            if (std::holds_alternative<list_call>(call.request)) {
+                lost.emplace_back(fixture.now + call.timeout, call);
+            } else {
+                fixture.session.answered(call.number, answer, fixture.now);
+            }
+        }
+        for (auto& [due, call] : std::exchange(lost, {})) {
+            if (due == fixture.now) {
+                fixture.session.answered(call.number, {.fault = call_fault::unanswered},
+                                         fixture.now);
+            } else {
+                lost.emplace_back(due, call);
+            }
+        }
+        restarted.advance(fixture.now);
+    }
+    CHECK(restarted.running().empty());
+}
+
 /// Simulates a session and a worker with random starts and stops, over a network that loses answers
 /// and delays calls.
 class unreliable_network_simulation {
