Write the signal and the stack of a process that ends by itself to its log

Cause: processes ended with signal 11 and left no line in their logs, so the fault was found from the kernel's message and from a trial on a scratch copy.

Change: runtime::install_failure_handler, called by the platform's programs, entryd and controld before their first thread, installs absl's failure signal handler with an unwinder that reads the unwind tables. SIGTERM keeps the handling that it had, so that shutdown stays orderly.

--- a/src/programs/controld/main.cpp
+++ b/src/programs/controld/main.cpp
@@ -4,6 +4,7 @@
 #include "hawthornstall/control/control_logic.hpp"
 #include "hawthornstall/core/error.hpp"
 #include "hawthornstall/monitoring/program_monitor.hpp"
+#include "hawthornstall/runtime/failure_handler.hpp"
 #include "hawthornstall/runtime/loop_task.hpp"
 #include "hawthornstall/runtime/signal_wait.hpp"
 #include "hawthornstall/settings/control_settings.hpp"
@@ -66,6 +67,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    hawthornstall::runtime::install_failure_handler(argv[0]);
     gflags::SetUsageMessage(
         "serves one control host; usage: hawthornstall-controld --settings FILE");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/src/programs/entryd/main.cpp
+++ b/src/programs/entryd/main.cpp
@@ -2,6 +2,7 @@
 
 #include "hawthornstall/core/error.hpp"
 #include "hawthornstall/entry/entry_host.hpp"
+#include "hawthornstall/runtime/failure_handler.hpp"
 #include "hawthornstall/runtime/signal_wait.hpp"
 #include "hawthornstall/settings/entry_settings.hpp"
 #include "hawthornstall/telemetry/log_output.hpp"
@@ -49,6 +50,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    hawthornstall::runtime::install_failure_handler(argv[0]);
     gflags::SetUsageMessage("serves one entry host; usage: hawthornstall-entryd --settings FILE");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     try {
