Give requests numbers that no earlier process of the host has used

Cause: the numbers of control_gateway, config_client and forward_table started again at 1 in a new process. A peer that has heard the present process may still hold a request of an earlier one: the owner of a shard runs its job, and the leading control host waits for a quorum. Its answer is then current for link_state, which ignores only messages whose sender has not heard the present process, and the number matches an open request of another caller.

Change: core/request_numbers.hpp gives the first number from the incarnation; the three and dispatch_logic use it.

Ruled out while writing the dispatcher test: a later job of 250 tasks is refused by admission with either numbering, so it shows nothing.

--- a/src/hawthornstall/control/control_gateway.hpp
+++ b/src/hawthornstall/control/control_gateway.hpp
@@ -75,10 +75,13 @@
     using message = gateway_message;
     using observer = std::function<void(const gateway_event&)>;
 
+    /// Requests count up from `last_earlier_number` + 1: the control host that leads can answer a
+    /// request after the process that forwarded it has ended.
     control_gateway(std::string address, net::http_server_limits limits,
+                    std::uint64_t last_earlier_number,
                     runtime::address<control_logic::message> logic, observer report)
-        : address_(std::move(address)), limits_(limits), logic_(std::move(logic)),
-          report_(std::move(report)) {}
+        : address_(std::move(address)), limits_(limits), last_earlier_number_(last_earlier_number),
+          logic_(std::move(logic)), report_(std::move(report)) {}
 
     /// Throws std::runtime_error when the address cannot be listened on.
     void attach(runtime::event_loop& loop) {
@@ -105,7 +108,8 @@
 
     void process(const net::http_request& request) {
         auto decoded = codec_.decode(request);
-        std::visit([&](auto& content) { serve(request.number, std::move(content)); }, decoded);
+        const auto number = last_earlier_number_ + request.number;
+        std::visit([&](auto& content) { serve(number, std::move(content)); }, decoded);
     }
 
     void serve(std::uint64_t number, const gateway_answer& request) {
@@ -168,7 +172,8 @@
     }
 
     void send(std::uint64_t number, const gateway_answer& answer) {
-        (void)server_->answer(number, {.status = answer.status, .body = answer.body});
+        (void)server_->answer(number - last_earlier_number_,
+                              {.status = answer.status, .body = answer.body});
     }
 
     void answer_expired() {
@@ -184,6 +189,7 @@
 
     std::string address_;
     net::http_server_limits limits_;
+    std::uint64_t last_earlier_number_;
     runtime::address<control_logic::message> logic_;
     observer report_;
     Codec codec_;
--- a/src/hawthornstall/entry/config_client.cpp
+++ b/src/hawthornstall/entry/config_client.cpp
@@ -31,8 +31,9 @@
 
 } // namespace detail
 
-config_client::config_client(std::vector<std::string> control_hosts)
-    : control_hosts_(std::move(control_hosts)) {}
+config_client::config_client(std::vector<std::string> control_hosts,
+                             std::uint64_t last_earlier_number)
+    : control_hosts_(std::move(control_hosts)), last_number_(last_earlier_number) {}
 
 config_effects config_client::handle(std::string_view host,
                                      const control::control_to_entry& message, core::time_ms now) {
--- a/src/hawthornstall/entry/config_client.hpp
+++ b/src/hawthornstall/entry/config_client.hpp
@@ -49,7 +49,8 @@
 /// dispatcher owns it.
 class config_client {
 public:
-    explicit config_client(std::vector<std::string> control_hosts);
+    /// Requests count up from `last_earlier_number` + 1.
+    config_client(std::vector<std::string> control_hosts, std::uint64_t last_earlier_number);
 
     /// Takes a message from a control host.
     [[nodiscard]] config_effects
@@ -104,7 +105,7 @@
     core::time_ms last_heard_{};
     core::time_ms last_subscribed_{};
     bool subscription_confirmed_ = false; ///< A message arrived since the last subscription.
-    std::uint64_t last_number_ = 0;
+    std::uint64_t last_number_;
     std::map<std::uint64_t, open_request> requests_;
     config_effects effects_;
 };
--- a/src/hawthornstall/entry/dispatcher.cpp
+++ b/src/hawthornstall/entry/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "hawthornstall/core/error.hpp"
 #include "hawthornstall/core/overloaded.hpp"
+#include "hawthornstall/core/request_numbers.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -23,7 +24,9 @@
 
 dispatcher::dispatcher(dispatcher_options options, times started)
     : options_(std::move(options)), hosts_(options_.self, options_.others, started.now),
-      replica_(options_.self.name, options_.incarnation), config_(options_.control_hosts),
+      replica_(options_.self.name, options_.incarnation),
+      forwarded_(core::last_earlier_number(options_.incarnation)),
+      config_(options_.control_hosts, core::last_earlier_number(options_.incarnation)),
       registry_({.incarnation = options_.incarnation,
                  .zone = options_.self.zone,
                  .peers = hosts_.zone_peers()}) {
--- a/src/hawthornstall/entry/forward_table.hpp
+++ b/src/hawthornstall/entry/forward_table.hpp
@@ -33,6 +33,9 @@
 /// has an identifier, by which the owner deduplicates it, or is idempotent.
 class forward_table {
 public:
+    /// Jobs count up from `last_earlier_number` + 1.
+    explicit forward_table(std::uint64_t last_earlier_number) : last_number_(last_earlier_number) {}
+
     /// Adds a job and returns its number.
     std::uint64_t add(forwarded_job job);
 
@@ -60,7 +63,7 @@
     [[nodiscard]] std::size_t size() const noexcept { return jobs_.size(); }
 
 private:
-    std::uint64_t last_number_ = 0;
+    std::uint64_t last_number_;
     std::unordered_map<std::uint64_t, forwarded_job> jobs_;
     std::set<std::pair<core::time_ms, std::uint64_t>> retries_;
     std::set<std::pair<core::time_ms, std::uint64_t>> deadlines_;
--- a/src/hawthornstall/runs/dispatch_logic.cpp
+++ b/src/hawthornstall/runs/dispatch_logic.cpp
@@ -1,5 +1,7 @@
 #include "hawthornstall/runs/dispatch_logic.hpp"
 
+#include "hawthornstall/core/request_numbers.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -14,11 +16,6 @@
 /// Longest interval between two presence messages to other entry hosts.
 constexpr core::duration_ms presence_interval{1'000};
 
-/// Upper limit of runs, and of submissions of jobs, per millisecond on one host. Run keys and
-/// numbers of submissions count up from the incarnation times this, so two processes of a host
-/// never use the same one.
-constexpr std::uint64_t numbers_per_ms = 1'000;
-
 /// Name of the log record of a change of a link.
 constexpr std::string_view event_of(net::link_change change) {
     switch (change) {
@@ -45,8 +42,8 @@
                                std::uint64_t incarnation, std::uint64_t host_bits,
                                core::time_ms now)
     : hosts_({.host = host, .leaving = false, .held_targets = {}}),
-      front_end_(incarnation * detail::numbers_per_ms),
-      scheduler_(incarnation * detail::numbers_per_ms), holder_(bounds, host_bits, now) {}
+      front_end_(core::last_earlier_number(incarnation)),
+      scheduler_(core::last_earlier_number(incarnation)), holder_(bounds, host_bits, now) {}
 
 void dispatch_logic::deliver(const std::string& from, run_message message, core::time_ms now) {
     std::visit([&](auto& content) { on_message(from, std::move(content), now); }, message);
--- a/tests/hawthornstall/entry/dispatcher_test.cpp
+++ b/tests/hawthornstall/entry/dispatcher_test.cpp
@@ -88,6 +88,40 @@
     }
 }
 
+/// The jobs of a host's callers before and after a restart of the host.
+struct restart_case {
+    std::string_view name;
+    std::size_t tasks_before;
+    std::size_t tasks_after;
+};
+
+// Guards against a caller that gets the answer to a job of another caller: the owner still runs a
+// job that an earlier process of the caller's host has forwarded, and answers the present process.
+TEST_CASE("the answer to a job of an earlier process reaches no caller") {
+    const std::array cases{
+        restart_case{"both jobs have as many tasks", 200, 200},
+        restart_case{"the later job has more tasks", 190, 200},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        auto zone = make_zone();
+        const auto host = other_host(zone.owner("h1"));
+        const auto earlier = zone.call(host, make_job(item.tasks_before, false, "earlier"));
+        zone.run_for(core::duration_ms{50});
+        zone.kill(host);
+        zone.restart(host);
+        zone.run_for(core::duration_ms{50});
+        const auto later = zone.call(host, make_job(item.tasks_after, false, "later"));
+        zone.run_for(core::duration_ms{8000});
+        CHECK(zone.calls()[earlier].answers.empty());
+        REQUIRE(zone.calls()[later].answers.size() == 1);
+        const auto& answer = zone.calls()[later].answers.front();
+        CHECK(answer.outcome == outcome_class::answered);
+        CHECK(answer.results.size() == item.tasks_after);
+        CHECK((!answer.results.empty() && answer.results.front() == "echo of later-0"));
+    }
+}
+
 /// A fault that is injected while a job runs, and its repair.
 struct fault_case {
     std::string_view name;
