Wait for the output of a process under test without polling

Cause: host_process_test slept 5 ms in a loop until the log file held the line "ready", and without a time limit.

Change: the log of the process is a named pipe, and the test waits in poll(2) for up to 10 s. The check is stricter: a process that ends without the line fails the test at once, where the loop would have waited until the limit of ctest.

--- a/tests/platform/soak/host_process_test.cpp
+++ b/tests/platform/soak/host_process_test.cpp
@@ -4,13 +4,15 @@
 #include <doctest/doctest.h>
 
 #include <array>
-#include <chrono>
 #include <csignal>
-#include <fstream>
+#include <fcntl.h>
+#include <poll.h>
 #include <string>
 #include <string_view>
+#include <sys/stat.h>
 #include <sys/wait.h>
-#include <thread>
+#include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace hawthornstall::platform::soak {
@@ -33,13 +35,38 @@
     bool as_requested;
 };
 
-void await_ready(const std::string& log) {
-    for (std::string line; line != "ready";) {
-        std::ifstream file{log};
-        std::getline(file, line);
-        std::this_thread::sleep_for(std::chrono::milliseconds{5});
+constexpr int ready_limit_ms = 10'000;
+
+/// Named pipe that takes the place of a log file, so that a test can wait for output.
+class log_pipe {
+public:
+    explicit log_pipe(std::string path) : path_(std::move(path)) {
+        REQUIRE(mkfifo(path_.c_str(), S_IRUSR | S_IWUSR) == 0);
+        descriptor_ = open(path_.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+        REQUIRE(descriptor_ >= 0);
     }
-}
+    ~log_pipe() { close(descriptor_); }
+    log_pipe(const log_pipe&) = delete;
+    log_pipe& operator=(const log_pipe&) = delete;
+    log_pipe(log_pipe&&) = delete;
+    log_pipe& operator=(log_pipe&&) = delete;
+
+    [[nodiscard]] const std::string& path() const { return path_; }
+
+    /// Waits until the process prints "ready". Fails if it ends without that or prints other text.
+    void await_ready() const {
+        pollfd waiting{.fd = descriptor_, .events = POLLIN, .revents = 0};
+        REQUIRE(::poll(&waiting, 1, ready_limit_ms) == 1);
+        std::array<char, 64> buffer{};
+        const auto received = read(descriptor_, buffer.data(), buffer.size());
+        REQUIRE(received > 0);
+        REQUIRE(std::string_view{buffer.data(), static_cast<std::size_t>(received)} == "ready\n");
+    }
+
+private:
+    std::string path_;
+    int descriptor_ = -1;
+};
 
 /// Waits until a child of this process has ended, and leaves it to be reaped.
 void wait_for_child() {
@@ -91,10 +118,10 @@
     for (const auto& item : cases) {
         CAPTURE(item.name);
         const control::scratch_folder folder;
-        const auto log = folder.path() + "/log";
-        host_process process{{"/bin/sh", "-c", item.script}, log};
+        const log_pipe log{folder.path() + "/log"};
+        host_process process{{"/bin/sh", "-c", item.script}, log.path()};
         process.start();
-        await_ready(log);
+        log.await_ready();
         carry_out(item.action, process);
         CHECK_FALSE(process.is_running());
         CHECK(process.exit_description() == item.description);
@@ -105,10 +132,10 @@
 // Guards against a restarted process whose crash is excused by a signal to an earlier one.
 TEST_CASE("a signal to an earlier process excuses no later end") {
     const control::scratch_folder folder;
-    const auto log = folder.path() + "/log";
-    host_process process{{"/bin/sh", "-c", "echo ready; exec sleep 60"}, log};
+    const log_pipe log{folder.path() + "/log"};
+    host_process process{{"/bin/sh", "-c", "echo ready; exec sleep 60"}, log.path()};
     process.start();
-    await_ready(log);
+    log.await_ready();
     process.signal(SIGTERM);
     process.kill();
     process.start();
