Try edits of another team's document in config_faults_test

Cause: the test tried an edit with a caller's token, but none with the token of another team.

Change: the cluster of the process tests has a second team. Its edits of the document, which keep the owner or name the editor's team as owner, are sent through every entry host. Each must be refused as not_owner, and after 2 s no host may serve the content or a further version. The check that no token appears in a log covers the new token.

--- a/scripts/cluster.bash
+++ b/scripts/cluster.bash
@@ -6,6 +6,7 @@
 declare -A PID=() HTTP=() PEER=() LINK=()
 CALLER_TOKEN=demo-caller-token-0001
 TEAM_TOKEN=demo-team-token-000001
+OTHER_TEAM_TOKEN=demo-other-team-token-1
 OPERATOR_TOKEN=demo-operator-token-01
 CONTROL_HOSTS=(c1 c2 c3)
 ENTRY_HOSTS=(a1 a2 a3 b1 b2)
@@ -70,11 +71,13 @@
     jq -n --arg name "$1" --arg zone "${ZONE[$1]}" --arg http "${HTTP[$1]}" --arg peer "${PEER[$1]}" \
         --argjson peers "$peers" --argjson replicas "${REPLICAS[${ZONE[$1]}]}" \
         --argjson control "$(host_list "${CONTROL_HOSTS[@]}")" \
-        --arg folder "$DIR/$1" --arg caller "$CALLER_TOKEN" --arg team "$TEAM_TOKEN" --arg operator "$OPERATOR_TOKEN" \
+        --arg folder "$DIR/$1" --arg caller "$CALLER_TOKEN" --arg team "$TEAM_TOKEN" \
+        --arg other_team "$OTHER_TEAM_TOKEN" --arg operator "$OPERATOR_TOKEN" \
         '{name: $name, zone: $zone, http_address: $http, peer_address: $peer, peers: $peers,
           data_folder: $folder, journal_replicas: $replicas, control_hosts: $control,
           tokens: [{token: $caller, name: "van-7", role: "caller", team: "restock-team"},
                    {token: $team, name: "marta", role: "team", team: "restock-team"},
+                   {token: $other_team, name: "jordi", role: "team", team: "returns-team"},
                    {token: $operator, name: "oncall", role: "operator"}]}' >"$DIR/$1.json"
 }
 
--- a/tests/process/common.bash
+++ b/tests/process/common.bash
@@ -19,7 +19,8 @@
     rm -rf "$DIR"
 }
 
-# ctl HOST TOKEN ARGS...: runs hawthornstallctl against HOST; TOKEN is team, caller or operator.
+# ctl HOST TOKEN ARGS...: runs hawthornstallctl against HOST; TOKEN is team, other_team, caller
+# or operator.
 ctl() {
     local host=$1 token=$2
     shift 2
@@ -28,6 +29,7 @@
 
 write_tokens() {
     echo "$TEAM_TOKEN" >"$DIR/team.token"
+    echo "$OTHER_TEAM_TOKEN" >"$DIR/other_team.token"
     echo "$CALLER_TOKEN" >"$DIR/caller.token"
     echo "$OPERATOR_TOKEN" >"$DIR/operator.token"
     chmod 600 "$DIR"/*.token
--- a/tests/process/config_faults_test.bash
+++ b/tests/process/config_faults_test.bash
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Guards against accepted edits that are lost, reverted or accepted twice. The faults are concurrent
+# Guards against accepted edits that are lost, reverted or accepted twice, and against edits by
+# callers and by other teams. The faults are concurrent
 # edits by two operators, killed and frozen control hosts, an emptied data folder, and the loss of a
 # second control host right after the repair of the first.
 set -euo pipefail
@@ -43,6 +44,28 @@
 ctl a1 caller edit "$(write_document "$version" 7)" >"$DIR/edit.out" 2>&1 &&
     fail "a caller's token edited a document"
 
+echo "another team may neither edit a document nor take it over"
+foreign_ms=7777
+for team in restock-team returns-team; do
+    file=$DIR/foreign-$team.json
+    jq --arg team "$team" '.team = $team' "$(write_document "$version" $foreign_ms)" >"$file"
+    for host in "${ENTRY_HOSTS[@]}"; do
+        code=0
+        ctl "$host" other_team edit "$file" >"$DIR/foreign.out" 2>&1 || code=$?
+        [ $code = 1 ] || fail "$host answered an edit of another team with exit code $code"
+        grep -q "not_owner" "$DIR/foreign.out" || fail "$host: $(cat "$DIR/foreign.out")"
+    done
+done
+# An accepted edit would be in force on all hosts after this time.
+sleep 2
+for host in "${ENTRY_HOSTS[@]}"; do
+    call GET "$host" /v1/documents/restock "$CALLER_TOKEN"
+    jq -e --argjson version "$version" --argjson foreign "$foreign_ms" \
+        '.version == $version and .team == "restock-team"
+         and .task.expected_run_time_ms != $foreign' <<<"$ANSWER" >/dev/null ||
+        fail "$host serves another document after a refused edit: $ANSWER"
+done
+
 echo "200 edits while the control hosts are killed and restarted in turn"
 for number in $(seq 200); do
     case $number in
@@ -93,5 +116,5 @@
 [ "$records" = "$version" ] || fail "the audit trail has $records records for $version versions"
 jq -e '[.[] | .to_version - .from_version] | all(. == 1)' <<<"$ANSWER" >/dev/null ||
     fail "the audit trail has a gap"
-grep -q "$TEAM_TOKEN" "$DIR"/*.log && fail "a token appears in a log"
+grep -q -e "$TEAM_TOKEN" -e "$OTHER_TEAM_TOKEN" "$DIR"/*.log && fail "a token appears in a log"
 echo "version $version, $records audit records"
