--- a/tests/hawthornstall/runs/lost_host_simulation.cpp
+++ b/tests/hawthornstall/runs/lost_host_simulation.cpp
@@ -455,7 +455,7 @@
         submit(name_of(scenario_.entry));
     }
     const bool leaves = is_lost("caller", loss_kind::killed);
-    if (leaves && !std::exchange(caller_left_, true)) {
+    if (leaves && is_running(name_of(scenario_.entry)) && !std::exchange(caller_left_, true)) {
         auto& entry = hosts_.at(name_of(scenario_.entry));
         entry.logic.caller_left(1, local(name_of(scenario_.entry)));
         entry.has_input = true;
