Write the log of a control host once per sync

Cause: several append calls before one sync left several unsynced writes. A power loss can keep a later one and lose an earlier one, which the next start takes for damage: the folder is set aside, and the host forgets its votes and entries.

Change: append() collects the records and sync() writes them at once. The file operations are a template parameter (file_operations), so that a test can let each of them fail, fail halfway or lose power, with unsynced writes present, missing or torn. The older test of truncated logs called append() without the sync that the contract asks for; it syncs now and checks the same.

--- a/src/hawthornstall/control/data_files.cpp
+++ b/src/hawthornstall/control/data_files.cpp
@@ -48,11 +48,15 @@
     return *this;
 }
 
-absl::StatusOr<file_descriptor> open_file(const std::string& path) {
+absl::StatusOr<file_descriptor> posix_files::open(const std::string& path) {
     return detail::open_with(path, O_RDWR | O_CREAT);
 }
 
-absl::StatusOr<std::optional<std::string>> read_file(const std::string& path) {
+absl::StatusOr<file_descriptor> posix_files::create(const std::string& path) {
+    return detail::open_with(path, O_RDWR | O_CREAT | O_TRUNC);
+}
+
+absl::StatusOr<std::optional<std::string>> posix_files::read(const std::string& path) {
     auto file = detail::open_with(path, O_RDONLY);
     if (!file.ok()) {
         if (file.status().code() == absl::StatusCode::kNotFound) {
@@ -81,7 +85,8 @@
     return std::optional{std::move(bytes)};
 }
 
-absl::Status write_at(const file_descriptor& file, std::string_view bytes, std::uint64_t offset) {
+absl::Status posix_files::write_at(const file_descriptor& file, std::string_view bytes,
+                                   std::uint64_t offset) {
     while (!bytes.empty()) {
         const auto count =
             ::pwrite(file.get(), bytes.data(), bytes.size(), static_cast<off_t>(offset));
@@ -95,20 +100,24 @@
     return absl::OkStatus();
 }
 
-absl::Status truncate_file(const file_descriptor& file, std::uint64_t size) {
-    if (::ftruncate(file.get(), static_cast<off_t>(size)) != 0) {
-        return detail::io_error("truncate_file", "data file");
-    }
-    return sync_file(file);
+absl::Status posix_files::truncate(const file_descriptor& file, std::uint64_t size) {
+    return ::ftruncate(file.get(), static_cast<off_t>(size)) == 0
+               ? absl::OkStatus()
+               : detail::io_error("truncate_file", "data file");
 }
 
-absl::Status sync_file(const file_descriptor& file) {
+absl::Status posix_files::sync(const file_descriptor& file) {
     // fdatasync also writes the file size, which is all the metadata that reading needs.
     return ::fdatasync(file.get()) == 0 ? absl::OkStatus()
                                         : detail::io_error("sync_file", "data file");
 }
 
-absl::Status sync_folder(const std::string& folder) {
+absl::Status posix_files::rename(const std::string& from, const std::string& to) {
+    return std::rename(from.c_str(), to.c_str()) == 0 ? absl::OkStatus()
+                                                      : detail::io_error("replace_file", to);
+}
+
+absl::Status posix_files::sync_folder(const std::string& folder) {
     const auto opened = detail::open_with(folder, O_RDONLY | O_DIRECTORY);
     if (!opened.ok()) {
         return opened.status();
@@ -116,34 +125,12 @@
     return ::fsync(opened->get()) == 0 ? absl::OkStatus() : detail::io_error("sync_folder", folder);
 }
 
-absl::Status replace_file(const std::string& folder, const std::string& name,
-                          std::string_view bytes) {
-    const std::string path = folder + '/' + name;
-    const std::string temporary = path + ".new";
-    {
-        const auto file = detail::open_with(temporary, O_RDWR | O_CREAT | O_TRUNC);
-        if (!file.ok()) {
-            return file.status();
-        }
-        if (auto written = write_at(*file, bytes, 0); !written.ok()) {
-            return written;
-        }
-        if (auto synced = sync_file(*file); !synced.ok()) {
-            return synced;
-        }
-    }
-    if (std::rename(temporary.c_str(), path.c_str()) != 0) {
-        return detail::io_error("replace_file", path);
-    }
-    return sync_folder(folder);
-}
-
-absl::StatusOr<file_descriptor> lock_folder(const std::string& folder) {
-    auto file = open_file(folder + "/lock");
+absl::StatusOr<file_descriptor> posix_files::lock(const std::string& path) {
+    auto file = open(path);
     if (file.ok() && ::flock(file->get(), LOCK_EX | LOCK_NB) != 0) {
         return core::make_error(absl::StatusCode::kFailedPrecondition,
                                 {.step = "lock_folder", .peer = {}},
-                                folder + ": another process uses this data folder");
+                                path + ": another process uses this data folder");
     }
     return file;
 }
--- a/src/hawthornstall/control/file_storage.hpp
+++ b/src/hawthornstall/control/file_storage.hpp
@@ -5,6 +5,9 @@
 #include "hawthornstall/control/data_files.hpp"
 #include "hawthornstall/control/log_storage.hpp"
 
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
 #include <cstdint>
 #include <deque>
 #include <span>
@@ -18,25 +21,33 @@
 /// An incompletely written tail of the log is truncated, because it was never acknowledged. Any
 /// other deviation is damage. A synced tail that the file system itself loses at a record boundary
 /// cannot be distinguished from entries that were never written.
-class file_storage {
+///
+/// Appended entries are written by sync(), in one write: of several writes without a sync between
+/// them, a power loss can keep a later one and lose an earlier one, which is damage.
+template <file_operations Files> class basic_file_storage {
 public:
+    using file = typename Files::file;
+
     /// Opens `folder`, which must exist. A folder without files becomes that of a new member
     /// {host, new_storage_id}; `new_storage_id` must be random and not 0. Errors: kDataLoss for a
     /// damaged folder, kFailedPrecondition for the folder of another host or of another process,
     /// kUnavailable when an operation of the file system fails.
-    [[nodiscard]] static absl::StatusOr<file_storage>
-    open(const std::string& folder, std::string_view host, std::uint64_t new_storage_id);
+    [[nodiscard]] static absl::StatusOr<basic_file_storage> open(const std::string& folder,
+                                                                 std::string_view host,
+                                                                 std::uint64_t new_storage_id,
+                                                                 Files files = {});
 
     [[nodiscard]] const hard_state& state() const { return state_; }
     [[nodiscard]] const memory_log& log() const { return log_; }
     [[nodiscard]] absl::StatusOr<log_snapshot> load_snapshot() const;
     [[nodiscard]] absl::Status save_state(const hard_state& state);
     [[nodiscard]] absl::Status append(std::span<const log_entry> entries);
-    [[nodiscard]] absl::Status sync() { return sync_file(log_file_); }
+    [[nodiscard]] absl::Status sync();
     [[nodiscard]] absl::Status install(const log_snapshot& snapshot);
 
 private:
-    explicit file_storage(std::string folder) : folder_(std::move(folder)) {}
+    basic_file_storage(std::string folder, Files files)
+        : files_(std::move(files)), folder_(std::move(folder)) {}
 
     [[nodiscard]] absl::Status load(std::string_view host, std::uint64_t new_storage_id);
     [[nodiscard]] absl::Status create(std::string_view host, std::uint64_t new_storage_id);
@@ -45,17 +56,25 @@
     [[nodiscard]] absl::Status open_log();
     [[nodiscard]] absl::Status rewrite_log();
     [[nodiscard]] absl::Status damage_error(std::string_view problem) const;
-    [[nodiscard]] std::string encode_entries(std::span<const log_entry> entries);
+    void encode_entries(std::span<const log_entry> entries, std::string& bytes);
+    [[nodiscard]] absl::Status replace(const std::string& name, std::string_view bytes);
 
+    Files files_;
     std::string folder_;
-    file_descriptor lock_;
-    file_descriptor log_file_;
+    file lock_;
+    file log_file_;
     hard_state state_;
     memory_log log_;
     std::deque<std::uint64_t> record_offsets_; ///< Of each entry of `log_` in the log file.
-    std::uint64_t log_bytes_ = 0;
+    std::uint64_t log_bytes_ = 0;              ///< Written to the log file.
+    std::string unwritten_;                    ///< Records that follow them.
 };
 
+/// Storage on the file system of the host.
+using file_storage = basic_file_storage<posix_files>;
+
+extern template class basic_file_storage<posix_files>;
+
 static_assert(log_storage<file_storage>);
 
 /// Result of open_or_replace.
--- a/src/hawthornstall/entry/document_cache.cpp
+++ b/src/hawthornstall/entry/document_cache.cpp
@@ -45,11 +45,13 @@
     saved_documents saved;
     saved.documents = wire::encode(documents);
     saved.checksum = XXH3_64bits(saved.documents.data(), saved.documents.size());
-    return control::replace_file(folder, std::string{detail::file_name}, wire::encode(saved));
+    control::posix_files files;
+    return control::replace_file(files, folder, std::string{detail::file_name},
+                                 wire::encode(saved));
 }
 
 absl::StatusOr<std::optional<control::config_delta>> load_documents(const std::string& folder) {
-    const auto bytes = control::read_file(folder + '/' + std::string{detail::file_name});
+    const auto bytes = control::posix_files::read(folder + '/' + std::string{detail::file_name});
     if (!bytes.ok()) {
         return bytes.status();
     }
--- a/tests/hawthornstall/control/file_storage_test.cpp
+++ b/tests/hawthornstall/control/file_storage_test.cpp
@@ -135,7 +135,7 @@
         REQUIRE(storage.ok());
         const auto last = 1 + length / record_bytes;
         CHECK(storage->log().last().index == last);
-        REQUIRE(storage->append(make_entries(last + 1, 1, 1)).ok());
+        append_synced(*storage, make_entries(last + 1, 1, 1));
         storage = absl::UnknownError("closed");
         CHECK(reopen(folder.path())->log().last().index == last + 1);
     }
