Count messages by kind, and pack grants and starts of one submission

Change: pack_messages() encodes consecutive grants or starts of a submission with what they share once. The messages and the decisions stay as they are. Counts of messages and bytes by kind are on the metrics address and in the event traffic every 10 s. Hosts of earlier builds cannot decode the lists: no rolling upgrade across this change.

--- a/src/hawthornstall/net/peer_links.cpp
+++ b/src/hawthornstall/net/peer_links.cpp
@@ -95,6 +95,7 @@
     const auto envelope = wire::decode<peer_envelope>(bytes);
     const auto now = core::ms_clock::now();
     ++counters_.messages_received;
+    counters_.bytes_received += bytes.size();
     auto* const sender = envelope.ok() ? find_or_add_sender(envelope->sender) : nullptr;
     if (sender == nullptr) {
         // The sender is not allowed to link to this process, or the message is malformed.
@@ -183,7 +184,10 @@
         peer_link.last_sent = now;
         ++counters_.messages_sent;
         counters_.bytes_sent += bytes.size();
-        counters_.control_bytes_sent += kind == envelope_kind::data ? 0 : bytes.size();
+        if (kind != envelope_kind::data) {
+            ++counters_.pings_sent;
+            counters_.control_bytes_sent += bytes.size();
+        }
     }
     return status;
 }
--- a/src/hawthornstall/net/peer_links.hpp
+++ b/src/hawthornstall/net/peer_links.hpp
@@ -41,8 +41,10 @@
 struct link_counters {
     std::uint64_t messages_sent = 0;
     std::uint64_t bytes_sent = 0;
+    std::uint64_t pings_sent = 0;         ///< Pings and pongs.
     std::uint64_t control_bytes_sent = 0; ///< Pings and pongs only.
     std::uint64_t messages_received = 0;
+    std::uint64_t bytes_received = 0;
     std::uint64_t links_replaced = 0; ///< Connections replaced by the liveness check.
     std::uint64_t malformed = 0;      ///< Undecodable, or from a sender that may not link.
     std::uint64_t outdated = 0;       ///< Late, or sent before a loss was known; ignored.
--- a/src/hawthornstall/runs/detail/dispatch_host_callers.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_callers.hpp
@@ -38,6 +38,7 @@
 
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::on_caller_request(const net::http_request& request) {
+    traffic_.received_from_caller(request.body.size());
     const auto time = now();
     const auto arrived = early_requests_.take(request.number).value_or(time);
     if (routes_.version == 0 && early_requests_.keep(request.number, arrived, time)) {
@@ -100,6 +101,7 @@
 
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::send_answer(std::uint64_t request, const caller_answer& answer) {
+    traffic_.sent_to_caller(answer.body.size());
     // The status is ignored: a caller that has left needs no answer, and the server counts it.
     (void)caller_server_->answer(
         request, {.status = answer.status, .body = answer.body, .retry_after = answer.retry_after});
--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -4,7 +4,7 @@
 
 #include "hawthornstall/control/entry_message_layouts.hpp"
 #include "hawthornstall/runs/dispatch_host.hpp"
-#include "hawthornstall/runs/run_layouts.hpp"
+#include "hawthornstall/runs/message_packing.hpp"
 #include "hawthornstall/wire/codec.hpp"
 
 #include <stdexcept>
@@ -19,6 +19,9 @@
 /// Longest interval between two hello messages to control hosts.
 constexpr core::duration_ms hello_interval{1'000};
 
+/// Interval of the reports of message counts.
+constexpr core::duration_ms traffic_interval{10'000};
+
 /// During shutdown, the server for callers closes when this much of the grace time is left.
 constexpr core::duration_ms close_before_end{2'000};
 
@@ -123,8 +126,9 @@
 void dispatch_host<Codec>::receive(std::string_view peer, std::string_view body) {
     if (is_control_host(peer)) {
         receive_from_control(peer, body);
-    } else if (auto messages = wire::decode<std::vector<run_message>>(body); messages.ok()) {
+    } else if (auto messages = unpack_messages(body); messages.ok()) {
         for (auto& item : *messages) {
+            traffic_.received(item);
             logic_.receive(std::string{peer}, std::move(item), *links_, now());
         }
     } else {
@@ -138,6 +142,7 @@
 
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::receive_from_control(std::string_view host, std::string_view body) {
+    traffic_.received_from_control(body.size());
     const auto message = wire::decode<control::control_to_entry>(body);
     if (!message.ok()) {
         report_({.level = core::log_level::warning,
@@ -169,6 +174,10 @@
     if (time >= hello_due_) {
         send_hellos();
     }
+    if (time >= traffic_due_) {
+        traffic_due_ = time + detail::traffic_interval;
+        report_traffic();
+    }
     flush();
     finish_shutdown(time);
 }
@@ -191,7 +200,9 @@
 void dispatch_host<Codec>::send_control(std::string_view host,
                                         const control::entry_to_control& message) {
     // The status is ignored: a lost message is repeated with the next digest or hello.
-    (void)links_->send(host, wire::encode(message));
+    const auto body = wire::encode(message);
+    traffic_.sent_to_control(body.size());
+    (void)links_->send(host, body);
 }
 
 /// Schedules one flush per iteration of the event loop, so that all inputs read in it share
@@ -205,6 +216,7 @@
 /// Carries out what the logic has decided.
 template <dispatch_codec Codec> void dispatch_host<Codec>::flush() {
     is_flush_scheduled_ = false;
+    traffic_.decided();
     const auto effects = logic_.take_effects(now());
     for (const auto& event : effects.events) {
         report_(event);
@@ -221,8 +233,12 @@
 }
 
 template <dispatch_codec Codec>
-void dispatch_host<Codec>::send(std::string_view host, const std::vector<run_message>& messages) {
-    if (const auto status = links_->send(host, wire::encode(messages)); !status.ok()) {
+void dispatch_host<Codec>::send(std::string_view host, std::span<const run_message> messages) {
+    const auto body =
+        pack_messages(messages, [this](std::size_t kind, std::size_t count, std::size_t bytes) {
+            traffic_.sent(kind, count, bytes);
+        });
+    if (const auto status = links_->send(host, body); !status.ok()) {
         report_({.level = core::log_level::warning,
                  .name = "message_not_sent",
                  .peer = std::string{host},
@@ -246,7 +262,9 @@
                                         .timeout = call.timeout,
                                         .idempotent = true};
     const auto sent = now();
-    const auto done = [this, call, sent](const net::exchange_result& result) {
+    const auto done = [this, call, sent,
+                       sent_bytes = encoded.body.size()](const net::exchange_result& result) {
+        traffic_.called(call.request, sent_bytes, result.body.size());
         const auto answer = codec_.decode(call, result);
         const auto age = now() - sent;
         if (answer.fault) {
@@ -271,6 +289,12 @@
     }
 }
 
+template <dispatch_codec Codec> void dispatch_host<Codec>::report_traffic() {
+    auto rows = traffic_.rows(links_->counters());
+    auto text = describe(rows);
+    report_({.name = "traffic", .detail = std::move(text), .traffic = std::move(rows)});
+}
+
 template <dispatch_codec Codec> void dispatch_host<Codec>::finish_shutdown(core::time_ms time) {
     if (!on_shutdown_end_) {
         return;
--- a/src/hawthornstall/runs/dispatch_event.hpp
+++ b/src/hawthornstall/runs/dispatch_event.hpp
@@ -4,10 +4,12 @@
 
 #include "hawthornstall/core/log_level.hpp"
 #include "hawthornstall/core/ms_clock.hpp"
+#include "hawthornstall/core/traffic.hpp"
 
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hawthornstall::runs {
 
@@ -19,6 +21,8 @@
     std::string peer{};      ///< Host or target concerned, if any.
     std::string detail{};
     std::optional<core::duration_ms> age{}; ///< Age of the job or call, if any.
+    /// Counts of all messages since the start of the process, in "traffic" events only.
+    std::vector<core::traffic_row> traffic{};
 };
 
 } // namespace hawthornstall::runs
--- a/src/hawthornstall/runs/dispatch_host.hpp
+++ b/src/hawthornstall/runs/dispatch_host.hpp
@@ -13,12 +13,14 @@
 #include "hawthornstall/runs/dispatch_logic.hpp"
 #include "hawthornstall/runs/dispatch_options.hpp"
 #include "hawthornstall/runs/early_requests.hpp"
+#include "hawthornstall/runs/message_traffic.hpp"
 #include "hawthornstall/runs/state_rows.hpp"
 #include "hawthornstall/runtime/event_loop.hpp"
 #include "hawthornstall/status/status_query.hpp"
 
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -98,8 +100,9 @@
     void send_control(std::string_view host, const control::entry_to_control& message);
     void schedule_flush();
     void flush();
-    void send(std::string_view host, const std::vector<run_message>& messages);
+    void send(std::string_view host, std::span<const run_message> messages);
     void call_target(const target_call& call);
+    void report_traffic();
     void finish_shutdown(core::time_ms now);
     [[nodiscard]] bool is_control_host(std::string_view name) const;
     [[nodiscard]] core::time_ms now() const noexcept { return core::ms_clock::now(); }
@@ -117,7 +120,9 @@
     route_table routes_;
     early_requests early_requests_;
     dispatch_logic logic_;
+    message_traffic traffic_;
     core::time_ms hello_due_{};
+    core::time_ms traffic_due_{};
     std::function<void()> on_shutdown_end_; ///< Called at the end of a shutdown; empty before one.
     core::time_ms leaving_since_{};
     bool closing_ = false;
--- a/src/hawthornstall/telemetry/event_metrics.cpp
+++ b/src/hawthornstall/telemetry/event_metrics.cpp
@@ -44,6 +44,16 @@
             .Name("hawthornstall_event_time_seconds")
             .Help("Time from the arrival of a job, or the start of a call, to the event.")
             .Register(registry);
+    prometheus::Family<prometheus::Counter>& traffic_messages =
+        prometheus::BuildCounter()
+            .Name("hawthornstall_traffic_messages_total")
+            .Help("Messages by direction and kind.")
+            .Register(registry);
+    prometheus::Family<prometheus::Counter>& traffic_bytes =
+        prometheus::BuildCounter()
+            .Name("hawthornstall_traffic_bytes_total")
+            .Help("Bytes of messages by direction and kind, without headers of HTTP, TCP and IP.")
+            .Register(registry);
     prometheus::Gauge& dropped_log_lines =
         prometheus::BuildGauge()
             .Name("hawthornstall_log_lines_dropped")
@@ -55,6 +65,15 @@
     std::map<std::string, detail::event_series, std::less<>> events;
 };
 
+namespace detail {
+
+/// Raises a counter to `total`. Totals never fall while the process lives.
+void raise_to(prometheus::Counter& counter, std::uint64_t total) {
+    counter.Increment(static_cast<double>(total) - counter.Value());
+}
+
+} // namespace detail
+
 event_metrics::event_metrics(std::string_view role) : state_(std::make_unique<state>(role)) {}
 event_metrics::~event_metrics() = default;
 
@@ -75,6 +94,15 @@
     }
 }
 
+void event_metrics::set_traffic(const core::traffic_row& row) {
+    const prometheus::Labels labels{{"role", state_->role},
+                                    {"direction", std::string{row.direction}},
+                                    {"kind", std::string{row.kind}}};
+    const std::lock_guard lock{state_->mutex};
+    detail::raise_to(state_->traffic_messages.Add(labels), row.count.messages);
+    detail::raise_to(state_->traffic_bytes.Add(labels), row.count.bytes);
+}
+
 void event_metrics::set_dropped_log_lines(std::uint64_t lines) {
     state_->dropped_log_lines.Set(static_cast<double>(lines));
 }
--- a/src/hawthornstall/telemetry/event_metrics.hpp
+++ b/src/hawthornstall/telemetry/event_metrics.hpp
@@ -3,6 +3,7 @@
 /// Counters and time histograms of named events, rendered in the Prometheus text format.
 
 #include "hawthornstall/core/ms_clock.hpp"
+#include "hawthornstall/core/traffic.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -27,6 +28,9 @@
     /// Counts one event and adds `time`, if any, to the histogram of the event.
     void observe(std::string_view event, std::optional<core::duration_ms> time = std::nullopt);
 
+    /// Sets the counters of one kind of message to its counts since the start of the process.
+    void set_traffic(const core::traffic_row& row);
+
     /// Sets the number of lines that the log output has dropped since the start of the process. To
     /// be called before each render().
     void set_dropped_log_lines(std::uint64_t lines);
--- a/src/hawthornstall/wire/codec.hpp
+++ b/src/hawthornstall/wire/codec.hpp
@@ -7,6 +7,10 @@
 
 #include <absl/status/statusor.h>
 
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -33,6 +37,20 @@
     return {buffer.data(), buffer.size()};
 }
 
+/// Encodes a list as encode() does, and calls `on_size` with each message and its encoded size.
+template <class Message, std::invocable<const Message&, std::size_t> OnSize>
+[[nodiscard]] std::string encode_list(std::span<const Message> messages, OnSize on_size) {
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer{buffer};
+    packer.pack_array(static_cast<std::uint32_t>(messages.size()));
+    for (const auto& message : messages) {
+        const auto before = buffer.size();
+        packer.pack(message);
+        on_size(message, buffer.size() - before);
+    }
+    return {buffer.data(), buffer.size()};
+}
+
 /// Inverse of encode(). Returns an error when `bytes` is malformed, too large or longer than the
 /// message.
 template <class Message> [[nodiscard]] absl::StatusOr<Message> decode(std::string_view bytes) {
--- a/tests/hawthornstall/telemetry/event_metrics_test.cpp
+++ b/tests/hawthornstall/telemetry/event_metrics_test.cpp
@@ -53,5 +53,23 @@
     CHECK(text.find("hawthornstall_log_lines_dropped{role=\"entry\"} 3\n") != std::string::npos);
 }
 
+// Guards against message counts that are added to the earlier ones although they are totals.
+TEST_CASE("the counters of messages show the latest totals") {
+    event_metrics metrics{"entry"};
+    for (const std::uint64_t messages : {2U, 5U}) {
+        metrics.set_traffic({"sent", "start_run", {.messages = messages, .bytes = 10 * messages}});
+    }
+    metrics.set_traffic({"received", "start_run", {.messages = 1, .bytes = 0}});
+    const auto text = metrics.render();
+    for (
+        const std::string_view line :
+        {R"(hawthornstall_traffic_messages_total{direction="sent",kind="start_run",role="entry"} 5)",
+         R"(hawthornstall_traffic_bytes_total{direction="sent",kind="start_run",role="entry"} 50)",
+         R"(hawthornstall_traffic_messages_total{direction="received",kind="start_run",role="entry"} 1)"}) {
+        CAPTURE(line);
+        CHECK(text.find(std::string{line} + "\n") != std::string::npos);
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::telemetry
