Prefer targets of hosts that a job depends on, and search targets by free capacity

Cause: each lease holder of a job gets its specification, and a job is lost with any of its holders, yet tasks were spread over as many holders as there were targets. Each placement looked at all targets.

Change: among targets that are equally fast and as tightly filled, those of the front end come first, then those of holders that run other tasks of the job. The pool keeps its targets ordered by free processor capacity.

--- a/src/hawthornstall/runs/capacity_pool.cpp
+++ b/src/hawthornstall/runs/capacity_pool.cpp
@@ -27,6 +27,17 @@
     return label.empty() || std::ranges::find(target.labels, label) != target.labels.end();
 }
 
+/// Orders lease holders by what the choice of their target costs: nothing for the front end itself,
+/// one more run at a host that the job depends on already, or one more host.
+int holder_rank(std::string_view holder, const placement_request& request) {
+    if (holder == request.front_end) {
+        return 0;
+    }
+    const bool has_run =
+        std::ranges::find(request.job_holders, holder) != request.job_holders.end();
+    return has_run ? 1 : 2;
+}
+
 int slowness_class(double slowness) {
     return static_cast<int>(std::floor(std::log(slowness) / std::log(slowness_class_ratio) + 0.5));
 }
@@ -39,13 +50,15 @@
     std::set<std::string_view> named;
     for (const auto& target : report.targets) {
         named.insert(target.id);
-        auto& item = targets_[target.id];
-        if (item.target.incarnation != target.incarnation) {
-            item.health = {};
-            item.ejected_until = {};
-        }
-        item.target = target;
-        item.holder = holder;
+        auto& [id, known] = *targets_.try_emplace(target.id).first;
+        update(id, known, [&](pooled_target& item) {
+            if (item.target.incarnation != target.incarnation) {
+                item.health = {};
+                item.ejected_until = {};
+            }
+            item.target = target;
+            item.holder = holder;
+        });
     }
     for (auto& [id, item] : targets_) {
         if (item.holder == holder && !named.contains(id)) {
@@ -55,6 +68,23 @@
     sum_usable_cpu();
 }
 
+template <std::invocable<capacity_pool::pooled_target&> Change>
+void capacity_pool::update(std::string_view id, pooled_target& item, Change change) {
+    by_free_cpu_.erase({item.free().cpu_millis, id});
+    change(item);
+    by_free_cpu_.emplace(item.free().cpu_millis, id);
+}
+
+template <std::predicate<const capacity_pool::pooled_target&> Visit>
+void capacity_pool::visit_free(std::int64_t cpu_millis, Visit visit) const {
+    for (auto position = by_free_cpu_.lower_bound({cpu_millis, {}}); position != by_free_cpu_.end();
+         ++position) {
+        if (!visit(targets_.find(position->second)->second)) {
+            return;
+        }
+    }
+}
+
 void capacity_pool::sum_usable_cpu() {
     usable_cpu_.clear();
     for (const auto& [id, item] : targets_) {
@@ -73,23 +103,32 @@
 }
 
 void capacity_pool::remove_holder(std::string_view holder) {
-    std::erase_if(targets_, [&](const auto& item) { return item.second.holder == holder; });
+    for (auto position = targets_.begin(); position != targets_.end();) {
+        const auto& [id, item] = *position;
+        if (item.holder == holder) {
+            by_free_cpu_.erase({item.free().cpu_millis, id});
+            position = targets_.erase(position);
+        } else {
+            ++position;
+        }
+    }
     sum_usable_cpu();
 }
 
 bool capacity_pool::can_accept(const pooled_target& item, const core::resources& resources) {
-    const auto free = item.target.capacity - item.target.used_by_others - item.reserved;
-    return free.holds(resources) && item.target.usable &&
+    return item.free().holds(resources) && item.target.usable &&
            item.running < item.health.max_in_flight();
 }
 
 bool capacity_pool::has_free_target(std::string_view service, const core::resources& resources,
                                     core::time_ms now) const {
-    return std::ranges::any_of(targets_, [&](const auto& entry) {
-        const auto& item = entry.second;
-        return can_accept(item, resources) && now >= item.ejected_until &&
-               item.target.service == service;
+    bool found = false;
+    visit_free(resources.cpu_millis, [&](const pooled_target& item) {
+        found = can_accept(item, resources) && now >= item.ejected_until &&
+                item.target.service == service;
+        return !found;
     });
+    return found;
 }
 
 bool capacity_pool::is_eligible(const pooled_target& item, const placement_request& request) {
@@ -102,24 +141,27 @@
 
 std::optional<placement> capacity_pool::pick(const placement_request& request,
                                              core::time_ms now) const {
-    using rank = std::tuple<bool, bool, int, std::int64_t>;
+    using rank = std::tuple<bool, bool, int, std::int64_t, int, std::int64_t>;
+    const auto cpu_millis = request.step->resources.cpu_millis;
     const pooled_target* best = nullptr;
     rank best_rank;
-    for (const auto& [id, item] : targets_) {
+    visit_free(cpu_millis, [&](const pooled_target& item) {
         if (now < item.ejected_until || !is_eligible(item, request)) {
-            continue;
+            return true;
         }
-        const auto free_after = item.target.capacity.cpu_millis -
-                                item.target.used_by_others.cpu_millis - item.reserved.cpu_millis -
-                                request.step->resources.cpu_millis;
-        const rank candidate{id == request.avoid,
+        const auto free_after = item.free().cpu_millis - cpu_millis;
+        const rank candidate{item.target.id == request.avoid,
                              !detail::has_label(item.target, request.step->data_rack),
-                             item.slowness_class, free_after};
+                             item.slowness_class,
+                             free_after / std::max<std::int64_t>(cpu_millis, 1),
+                             detail::holder_rank(item.holder, request),
+                             free_after};
         if (best == nullptr || candidate < best_rank) {
             best = &item;
             best_rank = candidate;
         }
-    }
+        return true;
+    });
     if (best == nullptr) {
         return std::nullopt;
     }
@@ -128,16 +170,20 @@
 
 void capacity_pool::reserve(std::string_view target, const core::resources& resources) {
     if (const auto found = targets_.find(target); found != targets_.end()) {
-        found->second.reserved += resources;
-        ++found->second.running;
+        update(found->first, found->second, [&](pooled_target& item) {
+            item.reserved += resources;
+            ++item.running;
+        });
     }
 }
 
 void capacity_pool::release(std::string_view target, const core::resources& resources) {
     if (const auto found = targets_.find(target);
         found != targets_.end() && found->second.running > 0) {
-        found->second.reserved -= resources;
-        --found->second.running;
+        update(found->first, found->second, [&](pooled_target& item) {
+            item.reserved -= resources;
+            --item.running;
+        });
     }
 }
 
@@ -189,11 +235,10 @@
     std::size_t with_free_resources = 0;
     std::size_t at_limit = 0;
     for (const auto& [id, item] : targets_) {
-        const auto free = item.target.capacity - item.target.used_by_others - item.reserved;
         usable += item.target.usable ? 1 : 0;
         ejected += item.health.max_in_flight() == 0 ? 1 : 0;
         at_limit += item.running >= item.health.max_in_flight() ? 1 : 0;
-        with_free_resources += item.target.usable && free.holds(resources) ? 1 : 0;
+        with_free_resources += item.target.usable && item.free().holds(resources) ? 1 : 0;
     }
     return std::to_string(targets_.size()) + " targets known, " + std::to_string(usable) +
            " usable, " + std::to_string(with_free_resources) + " with room, " +
--- a/src/hawthornstall/runs/capacity_pool.hpp
+++ b/src/hawthornstall/runs/capacity_pool.hpp
@@ -6,12 +6,15 @@
 #include "hawthornstall/runs/run_messages.hpp"
 #include "hawthornstall/scheduling/target_health.hpp"
 
+#include <concepts>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace hawthornstall::runs {
 
@@ -27,6 +30,8 @@
     const job_step* step = nullptr;
     std::span<const std::string> excluded{}; ///< Targets at the step's limit of tasks per target.
     std::string_view avoid{}; ///< Target of the task's earlier run, used only as the last choice.
+    std::string_view front_end{}; ///< Host that sends the start messages of the job.
+    std::span<const std::string_view> job_holders{}; ///< Lease holders of the job's other runs.
 };
 
 /// Chooses targets for tasks and tracks the capacity and health of the targets. Does no I/O. The
@@ -45,8 +50,11 @@
     void remove_holder(std::string_view holder);
 
     /// The best target with enough free resources at `now`, if there is one. Other targets come
-    /// before the one to avoid, then those near the task's data, then faster ones, then the one
-    /// with the least processor capacity left over (best fit).
+    /// before the one to avoid, then those near the task's data, then faster ones, then those that
+    /// can take the fewest further tasks of this size. Among these, a target of the front end or of
+    /// a lease holder that has runs of the job comes first: the job then depends on fewer hosts and
+    /// its specification is sent fewer times. Last comes the one with the least processor capacity
+    /// left over (best fit).
     [[nodiscard]] std::optional<placement> pick(const placement_request& request,
                                                 core::time_ms now) const;
 
@@ -91,16 +99,30 @@
         int slowness_class = 0;    ///< Rounded logarithm of `slowness`.
         double slowness = 1.0;     ///< Moving average of actual over declared run time.
         std::uint32_t running = 0; ///< Number of reserved runs.
+
+        [[nodiscard]] core::resources free() const {
+            return target.capacity - target.used_by_others - reserved;
+        }
     };
 
+    /// Targets by free processor capacity, so that a search skips those that are too full.
+    using free_index = std::set<std::pair<std::int64_t, std::string_view>>;
+
     [[nodiscard]] static bool can_accept(const pooled_target& item,
                                          const core::resources& resources);
     [[nodiscard]] static bool is_eligible(const pooled_target& item,
                                           const placement_request& request);
     [[nodiscard]] bool may_eject() const;
     void sum_usable_cpu();
+    /// Calls `change` with a target and updates its place in the index.
+    template <std::invocable<pooled_target&> Change>
+    void update(std::string_view id, pooled_target& item, Change change);
+    /// Calls `visit` with the targets that have at least `cpu_millis` free, until it returns false.
+    template <std::predicate<const pooled_target&> Visit>
+    void visit_free(std::int64_t cpu_millis, Visit visit) const;
 
     std::map<std::string, pooled_target, std::less<>> targets_;
+    free_index by_free_cpu_; ///< Refers to the keys of `targets_`.
     std::map<std::string, std::int64_t, std::less<>> usable_cpu_; ///< By service.
     std::optional<core::time_ms> first_report_;
 };
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -39,6 +39,18 @@
         job.tasks, [](const task_record& task) { return task.state == phase::running; });
 }
 
+/// The lease holders that the running tasks of a job depend on.
+std::vector<std::string_view> holders_of_runs(const job_record& job) {
+    std::vector<std::string_view> holders;
+    for (const auto& task : job.tasks) {
+        if (task.state == phase::running &&
+            std::ranges::find(holders, task.holder) == holders.end()) {
+            holders.emplace_back(task.holder);
+        }
+    }
+    return holders;
+}
+
 /// Time limit of a run: a fixed slack plus a multiple of the declared run time, which doubles with
 /// each stop of an overdue run of the task.
 core::duration_ms overdue_time(const task_record& task, const job_step& step) {
@@ -420,10 +432,13 @@
     auto& task = job.tasks[index];
     const auto& step = job.request.steps[task.step];
     const auto excluded = targets_at_step_limit(job, task);
+    const auto holders = detail::holders_of_runs(job);
     auto chosen = pool_.pick({.service = job.request.terms.service,
                               .step = &step,
                               .excluded = excluded,
-                              .avoid = task.target},
+                              .avoid = task.target,
+                              .front_end = job.waiters.front().host,
+                              .job_holders = holders},
                              now);
     if (!chosen) {
         return false;
--- a/tests/hawthornstall/runs/capacity_pool_test.cpp
+++ b/tests/hawthornstall/runs/capacity_pool_test.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -143,5 +145,93 @@
     CHECK(pool.pick({.service = "restock", .step = &step}, start_time).has_value());
 }
 
+struct holder_case {
+    std::string_view name;
+    std::string_view front_end;
+    std::vector<std::string_view> job_holders;
+    std::int64_t cpu_millis; ///< Of the task.
+    std::string expected;
+};
+
+// Load: jobs of many tasks with large specifications, on hosts with narrow links. Guards against a
+// job whose tasks are spread over more lease holders than necessary: each holder gets the
+// specification, and the job is lost with any of them.
+TEST_CASE("among equally tight targets one of a host that the job depends on comes first") {
+    capacity_pool pool;
+    pool.report("h1", {.targets = {make_target("a", 64'000, {}), make_target("b", 96'000, {})}},
+                start_time);
+    pool.report("h2", {.targets = {make_target("c", 66'000, {}), make_target("d", 98'000, {})}},
+                start_time);
+    pool.report("h3", {.targets = {make_target("e", 68'000, {})}}, start_time);
+    const std::array cases{
+        holder_case{"no holder yet", "x", {}, 27'000, "a"},
+        holder_case{"a holder with a run of the job", "x", {"h2"}, 27'000, "c"},
+        holder_case{"two holders with runs of the job", "x", {"h3", "h2"}, 27'000, "c"},
+        holder_case{"the front end", "h3", {"h2"}, 27'000, "e"},
+        holder_case{"a looser target of the same holder", "x", {"h2"}, 80'000, "d"},
+        holder_case{"tight packing goes first", "x", {"h9"}, 65'000, "c"},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        job_step step;
+        step.resources = {.cpu_millis = item.cpu_millis};
+        const auto chosen = pool.pick({.service = "restock",
+                                       .step = &step,
+                                       .front_end = item.front_end,
+                                       .job_holders = item.job_holders},
+                                      start_time);
+        CHECK((chosen ? chosen->target : std::string{}) == item.expected);
+    }
+}
+
+struct occupancy_case {
+    std::string_view name;
+    std::function<void(capacity_pool&)> change;
+    bool is_free; ///< Whether a task of a whole target is placed afterwards.
+};
+
+// Guards against a search by free capacity that goes by the capacity of before a change.
+TEST_CASE("a target is found by its present free capacity") {
+    const core::resources whole{.cpu_millis = 64'000};
+    const target_report report{.targets = {make_target("a", 64'000, {})}};
+    const std::array cases{
+        occupancy_case{"nothing runs", [](capacity_pool&) {}, true},
+        occupancy_case{"reserved", [&](capacity_pool& pool) { pool.reserve("a", whole); }, false},
+        occupancy_case{"reserved and released",
+                       [&](capacity_pool& pool) {
+                           pool.reserve("a", whole);
+                           pool.release("a", whole);
+                       },
+                       true},
+        occupancy_case{"used by another scheduler",
+                       [&](capacity_pool& pool) {
+                           auto used = report;
+                           used.targets[0].used_by_others = {.cpu_millis = 1};
+                           pool.report("h", used, start_time);
+                       },
+                       false},
+        occupancy_case{"its holder is lost", [](capacity_pool& pool) { pool.remove_holder("h"); },
+                       false},
+        occupancy_case{"its holder is lost and another one reports it",
+                       [&](capacity_pool& pool) {
+                           pool.reserve("a", whole);
+                           pool.remove_holder("h");
+                           pool.report("g", report, start_time);
+                       },
+                       true},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        capacity_pool pool;
+        pool.report("h", report, start_time);
+        item.change(pool);
+        job_step step;
+        step.resources = whole;
+        CHECK(pool.pick({.service = "restock", .step = &step}, start_time).has_value() ==
+              item.is_free);
+        CHECK(pool.has_free_target("restock", whole, start_time) == item.is_free);
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::runs
