Claim targets sooner after a restart of all hosts, and without searching every tick

All machines lose power at 43.5 s; the processes start at 45.30 s, the configuration is in force at 45.62 s and all hosts know each other at 45.35 s, but each waits a full second before it claims targets, until 46.30 s. Besides, each tick copied all known targets and compared each with the targets of every host, and each announcement was compared with all addresses.

Change: a process claims 300 ms after it has learned of the last other host, after 1,000 ms at the latest. Membership counts who holds a target, the directory keeps the ids at each address, and claims visit the targets without a copy.

--- a/src/hawthornstall/discovery/target_directory.cpp
+++ b/src/hawthornstall/discovery/target_directory.cpp
@@ -1,6 +1,7 @@
 #include "hawthornstall/discovery/target_directory.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace hawthornstall::discovery {
 
@@ -17,31 +18,72 @@
         return false;
     }
     remove_older_targets_at_address(record);
-    entries_[record.id] = {.record = record, .heard_at = now, .has_left = false};
+    set({.record = record, .heard_at = now, .has_left = false});
     return true;
 }
 
+void target_directory::set(entry item) {
+    auto& known = entries_[item.record.id];
+    if (known.record.address != item.record.address) {
+        forget_address(known.record);
+        ids_at_address_[item.record.address].push_back(item.record.id);
+    }
+    known = std::move(item);
+}
+
+void target_directory::forget_address(const target_record& record) {
+    const auto found = ids_at_address_.find(record.address);
+    if (found != ids_at_address_.end() && std::erase(found->second, record.id) > 0 &&
+        found->second.empty()) {
+        ids_at_address_.erase(found);
+    }
+}
+
+template <std::predicate<const target_directory::entry&> IsObsolete>
+void target_directory::remove_if(IsObsolete is_obsolete) {
+    for (auto position = entries_.begin(); position != entries_.end();) {
+        if (is_obsolete(position->second)) {
+            forget_address(position->second.record);
+            position = entries_.erase(position);
+        } else {
+            ++position;
+        }
+    }
+}
+
 // A delayed announcement of a crashed target must not replace its successor at the same address.
 bool target_directory::has_newer_target_at_address(const target_record& record) const {
-    return std::ranges::any_of(entries_, [&](const auto& item) {
-        const auto& other = item.second.record;
-        return other.address == record.address && other.id != record.id &&
-               other.incarnation > record.incarnation;
-    });
+    const auto found = ids_at_address_.find(record.address);
+    return found != ids_at_address_.end() &&
+           std::ranges::any_of(found->second, [&](const std::string& id) {
+               const auto& other = entries_.at(id).record;
+               return id != record.id && other.incarnation > record.incarnation;
+           });
 }
 
 void target_directory::remove_older_targets_at_address(const target_record& record) {
-    std::erase_if(entries_, [&](const auto& item) {
-        const auto& other = item.second.record;
-        return other.address == record.address && other.id != record.id &&
-               other.incarnation < record.incarnation;
+    const auto found = ids_at_address_.find(record.address);
+    if (found == ids_at_address_.end()) {
+        return;
+    }
+    std::erase_if(found->second, [&](const std::string& id) {
+        const auto other = entries_.find(id);
+        const bool is_older =
+            id != record.id && other->second.record.incarnation < record.incarnation;
+        if (is_older) {
+            entries_.erase(other);
+        }
+        return is_older;
     });
+    if (found->second.empty()) {
+        ids_at_address_.erase(found);
+    }
 }
 
 void target_directory::leave(const target_record& record, core::time_ms now) {
     const auto found = entries_.find(record.id);
     if (found == entries_.end()) {
-        entries_[record.id] = {.record = record, .heard_at = now, .has_left = true};
+        set({.record = record, .heard_at = now, .has_left = true});
     } else if (found->second.record.incarnation <= record.incarnation || record.incarnation == 0) {
         found->second.heard_at = now;
         found->second.has_left = true;
@@ -49,9 +91,7 @@
 }
 
 void target_directory::tick(core::time_ms now) {
-    std::erase_if(entries_, [&](const auto& item) {
-        return now - item.second.heard_at > target_silence_limit;
-    });
+    remove_if([&](const entry& item) { return now - item.heard_at > target_silence_limit; });
 }
 
 std::vector<target_record> target_directory::targets() const {
--- a/src/hawthornstall/discovery/target_directory.hpp
+++ b/src/hawthornstall/discovery/target_directory.hpp
@@ -5,6 +5,7 @@
 #include "hawthornstall/core/ms_clock.hpp"
 #include "hawthornstall/discovery/target_record.hpp"
 
+#include <concepts>
 #include <map>
 #include <string>
 #include <string_view>
@@ -32,6 +33,15 @@
     /// Targets that have not left, sorted by id.
     [[nodiscard]] std::vector<target_record> targets() const;
 
+    /// Calls `visit` with each target that has not left, sorted by id.
+    template <std::invocable<const target_record&> Visit> void for_each(Visit visit) const {
+        for (const auto& [id, item] : entries_) {
+            if (!item.has_left) {
+                visit(item.record);
+            }
+        }
+    }
+
     /// Latest announcement of a target that has not left, or nullptr.
     [[nodiscard]] const target_record* find(std::string_view id) const;
 
@@ -48,7 +58,15 @@
     /// has ended.
     void remove_older_targets_at_address(const target_record& record);
 
-    std::map<std::string, entry, std::less<>> entries_;
+    /// Replaces what is known about a target.
+    void set(entry item);
+    /// Removes the targets for which `is_obsolete` holds.
+    template <std::predicate<const entry&> IsObsolete> void remove_if(IsObsolete is_obsolete);
+    void forget_address(const target_record& record);
+
+    std::map<std::string, entry, std::less<>> entries_; ///< By id.
+    /// Ids of the targets at each address: mostly one, and its predecessors until they are dropped.
+    std::map<std::string, std::vector<std::string>, std::less<>> ids_at_address_;
 };
 
 } // namespace hawthornstall::discovery
--- a/src/hawthornstall/runs/host_membership.cpp
+++ b/src/hawthornstall/runs/host_membership.cpp
@@ -17,13 +17,40 @@
 
 } // namespace detail
 
+void host_membership::on_presence(const host_presence& host) {
+    const auto [position, is_new] = others_.try_emplace(host.host.name);
+    auto& known = position->second;
+    joins_ += is_new ? 1 : 0;
+    if (known.held_targets != host.held_targets) {
+        uncount_holder(known);
+        count_holder(host);
+    }
+    known = host;
+}
+
 void host_membership::unreachable(std::string_view host) {
     const auto found = others_.find(host);
     if (found != others_.end()) {
+        uncount_holder(found->second);
         others_.erase(found);
     }
 }
 
+void host_membership::count_holder(const host_presence& host) {
+    for (const auto& target : host.held_targets) {
+        ++holder_counts_[target];
+    }
+}
+
+void host_membership::uncount_holder(const host_presence& host) {
+    for (const auto& target : host.held_targets) {
+        const auto found = holder_counts_.find(target);
+        if (--found->second == 0) {
+            holder_counts_.erase(found);
+        }
+    }
+}
+
 std::optional<std::string> host_membership::scheduler() const {
     const auto rank = [](const host_presence& host) {
         return std::tuple{-host.host.weight, -host.scheduling_for,
@@ -76,10 +103,7 @@
 }
 
 bool host_membership::held_elsewhere(std::string_view target) const {
-    return std::ranges::any_of(others_, [&](const auto& item) {
-        return std::ranges::find(item.second.held_targets, target) !=
-               item.second.held_targets.end();
-    });
+    return holder_counts_.contains(target);
 }
 
 } // namespace hawthornstall::runs
--- a/src/hawthornstall/runs/host_membership.hpp
+++ b/src/hawthornstall/runs/host_membership.hpp
@@ -5,6 +5,7 @@
 #include "hawthornstall/core/ms_clock.hpp"
 #include "hawthornstall/runs/run_messages.hpp"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -20,11 +21,14 @@
     explicit host_membership(host_presence self) : self_(std::move(self)) {}
 
     /// Takes the presence message of another host.
-    void on_presence(const host_presence& host) { others_[host.host.name] = host; }
+    void on_presence(const host_presence& host);
 
     /// Removes a host that cannot be reached.
     void unreachable(std::string_view host);
 
+    /// How often a host that was not known at the time has joined.
+    [[nodiscard]] std::uint64_t joins() const noexcept { return joins_; }
+
     /// The presence message of this host.
     [[nodiscard]] host_presence& self() noexcept { return self_; }
     [[nodiscard]] const host_presence& self() const noexcept { return self_; }
@@ -56,9 +60,15 @@
     [[nodiscard]] bool held_elsewhere(std::string_view target) const;
 
 private:
+    void count_holder(const host_presence& host);
+    void uncount_holder(const host_presence& host);
+
     host_presence self_;
     std::optional<core::time_ms> scheduling_since_;
     std::map<std::string, host_presence, std::less<>> others_;
+    std::uint64_t joins_ = 0;
+    /// How many of the other hosts have announced that they hold a target.
+    std::map<std::string, std::uint32_t, std::less<>> holder_counts_;
 };
 
 } // namespace hawthornstall::runs
--- a/src/hawthornstall/runs/target_holder.cpp
+++ b/src/hawthornstall/runs/target_holder.cpp
@@ -10,6 +10,10 @@
 /// A new process waits this long for the presence messages of other hosts before it claims targets.
 constexpr core::duration_ms startup_delay{1'000};
 
+/// A new process that knows other hosts waits no longer than this after it has learned of the last
+/// one. Hosts that are up are linked to within two attempts to connect, 250 ms apart at most.
+constexpr core::duration_ms settling_time{300};
+
 /// Delay before a target that refused a fencing token is claimed again. By then another lease
 /// holder, if there is one, has announced that it holds the target.
 constexpr core::duration_ms fenced_retry_delay{300};
@@ -180,27 +184,37 @@
     }
 }
 
+/// Whether this process has had time to learn which hosts are alive and what they hold. After a
+/// restart of all hosts nobody holds a target, so every further wait is time without service.
+bool target_holder::may_claim(const host_membership& hosts, core::time_ms now) {
+    if (hosts.joins() != joins_seen_) {
+        joins_seen_ = hosts.joins();
+        last_join_at_ = now;
+    }
+    const bool has_settled = joins_seen_ > 0 && now - last_join_at_ >= detail::settling_time;
+    return now >= first_claim_at_ || has_settled;
+}
+
 void target_holder::claim_targets(const discovery::target_directory& directory,
                                   const host_membership& hosts, core::time_ms now,
                                   core::time_ms wall) {
-    if (now < first_claim_at_ || hosts.self().leaving) {
+    if (!may_claim(hosts, now) || hosts.self().leaving) {
         return;
     }
-    for (auto& record : directory.targets()) {
+    directory.for_each([&](const discovery::target_record& record) {
         const auto retry = retry_at_.find(record.id);
         const bool is_paused = retry != retry_at_.end() && now < retry->second;
-        if (is_paused || sessions_.contains(record.id) || hosts.held_elsewhere(record.id) ||
+        if (is_paused || hosts.held_elsewhere(record.id) || sessions_.contains(record.id) ||
             hosts.preferred_holder(record.id, record.zone) != hosts.self().host.name) {
-            continue;
+            return;
         }
-        const auto id = record.id;
         const auto inserted = sessions_.emplace(
-            id, held_session{.session = target_session{std::move(record), tokens_.next(wall),
-                                                       bounds_, *front_ends_, now},
-                             .claimed_at = now});
+            record.id, held_session{.session = target_session{record, tokens_.next(wall), bounds_,
+                                                              *front_ends_, now},
+                                    .claimed_at = now});
         effects_.held_changed = true;
         collect_effects(inserted.first->second.session);
-    }
+    });
 }
 
 /// Takes over what a held target announces.
--- a/src/hawthornstall/runs/target_holder.hpp
+++ b/src/hawthornstall/runs/target_holder.hpp
@@ -119,6 +119,7 @@
     [[nodiscard]] bool idle() const;
 
 private:
+    [[nodiscard]] bool may_claim(const host_membership& hosts, core::time_ms now);
     void claim_targets(const discovery::target_directory& directory, const host_membership& hosts,
                        core::time_ms now, core::time_ms wall);
     void release_targets(const discovery::target_directory& directory, const host_membership& hosts,
@@ -154,7 +155,9 @@
         core::time_ms sent{};
     };
     std::map<std::string, sent_report, std::less<>> reports_; ///< Last report, by scheduler.
-    core::time_ms first_claim_at_;
+    core::time_ms first_claim_at_;                            ///< At the latest.
+    std::uint64_t joins_seen_ = 0; ///< host_membership::joins() at the last tick.
+    core::time_ms last_join_at_{}; ///< When that number has changed.
     core::time_ms report_due_{};
     holder_effects effects_;
 };
--- a/tests/hawthornstall/runs/host_membership_test.cpp
+++ b/tests/hawthornstall/runs/host_membership_test.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace hawthornstall::runs {
@@ -78,5 +79,38 @@
     CHECK(view.scheduler() == "c");
 }
 
+struct held_case {
+    std::string_view name;
+    std::vector<std::pair<std::string, std::vector<std::string>>> presences; ///< Host and targets.
+    std::string unreachable; ///< Host that is lost at the end; empty for none.
+    bool expected = false;   ///< Whether "w-1" is held by another host.
+};
+
+// Guards against a target that no host claims, because a host that has released it or is lost still
+// counts as its holder, and against a claim that ends the runs of a holder that is alive.
+TEST_CASE("a target is held elsewhere while a reachable host says that it holds it") {
+    const std::array cases{
+        held_case{"nobody", {{"b", {"w-2"}}}, "", false},
+        held_case{"one host", {{"b", {"w-1", "w-2"}}}, "", true},
+        held_case{"said again", {{"b", {"w-1"}}, {"b", {"w-1"}}}, "b", false},
+        held_case{"released", {{"b", {"w-1", "w-2"}}, {"b", {"w-2"}}}, "", false},
+        held_case{"released by one of two", {{"b", {"w-1"}}, {"c", {"w-1"}}, {"b", {}}}, "", true},
+        held_case{"one of two is lost", {{"b", {"w-1"}}, {"c", {"w-1"}}}, "b", true},
+        held_case{"lost", {{"b", {"w-1"}}}, "b", false},
+        held_case{"an unknown host is lost", {{"b", {"w-1"}}}, "c", true},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        host_membership view{make_host("a", 0.2)};
+        for (const auto& [name, targets] : item.presences) {
+            auto host = make_host(name, 0.2);
+            host.held_targets = targets;
+            view.on_presence(host);
+        }
+        view.unreachable(item.unreachable);
+        CHECK(view.held_elsewhere("w-1") == item.expected);
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::runs
--- a/tests/hawthornstall/runs/target_holder_test.cpp
+++ b/tests/hawthornstall/runs/target_holder_test.cpp
@@ -91,6 +91,44 @@
     }
 }
 
+struct first_claim_case {
+    std::string_view name;
+    std::vector<int> joins_at; ///< When other hosts become known, in ms after the start.
+    int expected_at;           ///< First tick at which the target is claimed.
+};
+
+// Load: every machine loses power, so that no host holds a target. Guards against a second without
+// service in which all hosts know each other already, and against a claim by a process that has not
+// heard of the hosts that hold its targets yet.
+TEST_CASE("a new process claims targets once it has learned of the other hosts") {
+    const std::array cases{
+        first_claim_case{"alone", {}, 1'000},
+        first_claim_case{"all hosts at once", {50, 50, 50}, 350},
+        first_claim_case{"one after the other", {50, 250, 500}, 800},
+        first_claim_case{"a late one", {50, 900}, 350},
+        first_claim_case{"one at the end of the wait", {950}, 1'000},
+    };
+    constexpr duration_ms tick{50};
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        host_membership hosts{make_host("a", "bilbao")};
+        discovery::target_directory directory;
+        directory.announce(make_record(1, "bilbao"), start_time);
+        target_holder holder{{}, 1, start_time};
+        auto now = start_time;
+        while (holder.held().empty() && now - start_time < duration_ms{2'000}) {
+            now += tick;
+            for (std::size_t index = 0; index < item.joins_at.size(); ++index) {
+                if (start_time + duration_ms{item.joins_at[index]} == now) {
+                    hosts.on_presence(make_host("b" + std::to_string(index), "oviedo"));
+                }
+            }
+            holder.tick(directory, hosts, now, wall_time);
+        }
+        CHECK(now - start_time == duration_ms{item.expected_at});
+    }
+}
+
 // Guards against tokens that repeat or decrease, also when the wall clock steps back.
 TEST_CASE("fencing tokens increase and differ between hosts") {
     fencing_tokens first{0x0a010010};
