Name the sender once on each connection, and let the scheduler hold no targets

Change: only the first envelope on a connection names its sender; the receiver keeps the name with the connection. In a zone with four other hosts or more, the scheduler is not the preferred holder of any target.

Measured: net_test and runs_test on this code: all pass but 'pings are sent at multiples of their interval' (pinged 1 ms early, 999 ms of 1,000), which is being traced.

--- a/src/hawthornstall/net/peer_dialer.cpp
+++ b/src/hawthornstall/net/peer_dialer.cpp
@@ -29,6 +29,7 @@
 
 void peer_dialer::replace_connection() {
     evbuffer_drain(waiting_.get(), evbuffer_get_length(waiting_.get()));
+    starts_connection_ = true;
     connect();
 }
 
@@ -56,6 +57,8 @@
 void peer_dialer::reconnect_later() {
     connected_ = false;
     socket_.reset();
+    // What was written to the socket is lost. What waits is sent first on the next connection.
+    starts_connection_ = evbuffer_get_length(waiting_.get()) == 0;
     reconnect_event_ = loop_.after(reconnect_delay_, [this] { connect(); });
     reconnect_delay_ = std::min(2 * reconnect_delay_, detail::longest_reconnect_delay);
 }
@@ -71,6 +74,7 @@
         replace_connection();
         return core::make_error(absl::StatusCode::kResourceExhausted, origin, "out of memory");
     }
+    starts_connection_ = false;
     return absl::OkStatus();
 }
 
--- a/src/hawthornstall/net/peer_dialer.hpp
+++ b/src/hawthornstall/net/peer_dialer.hpp
@@ -35,6 +35,9 @@
     /// Queues `message`. Fails when too much is queued already.
     [[nodiscard]] absl::Status send(std::string_view message);
 
+    /// Whether the next message is the first one on its connection.
+    [[nodiscard]] bool starts_connection() const noexcept { return starts_connection_; }
+
 private:
     // Callbacks of libevent; `argument` is the peer_dialer.
     static void on_readable(bufferevent* socket, void* argument);
@@ -49,6 +52,7 @@
     detail::buffered_socket socket_;
     detail::buffer_handle waiting_; ///< Messages that wait for the connection to be open.
     bool connected_ = false;
+    bool starts_connection_ = true;
     core::duration_ms reconnect_delay_;
     runtime::event_handle reconnect_event_;
 };
--- a/src/hawthornstall/net/peer_envelope.hpp
+++ b/src/hawthornstall/net/peer_envelope.hpp
@@ -20,6 +20,8 @@
 
 /// One message on a link.
 struct peer_envelope {
+    /// Empty, as `incarnation` is 0, in all but the first envelope on a connection, which names the
+    /// sender for the others.
     std::string sender;
     std::uint64_t incarnation = 0; ///< Start time of the sending process, wall-clock ms.
     envelope_kind kind = envelope_kind::ping;
--- a/src/hawthornstall/net/peer_links.cpp
+++ b/src/hawthornstall/net/peer_links.cpp
@@ -92,11 +92,12 @@
 }
 
 bool peer_links::handle_message(std::uint64_t connection, std::string_view bytes) {
-    const auto envelope = wire::decode<peer_envelope>(bytes);
+    auto envelope = wire::decode<peer_envelope>(bytes);
     const auto now = core::ms_clock::now();
     ++counters_.messages_received;
     counters_.bytes_received += bytes.size();
-    auto* const sender = envelope.ok() ? find_or_add_sender(envelope->sender) : nullptr;
+    const bool has_sender = envelope.ok() && complete_sender(connection, *envelope);
+    auto* const sender = has_sender ? find_or_add_sender(envelope->sender) : nullptr;
     if (sender == nullptr) {
         // The sender is not allowed to link to this process, or the message is malformed.
         ++counters_.malformed;
@@ -128,6 +129,20 @@
     return true;
 }
 
+bool peer_links::complete_sender(std::uint64_t connection, peer_envelope& envelope) {
+    if (!envelope.sender.empty()) {
+        senders_[connection] = {envelope.sender, envelope.incarnation};
+        return true;
+    }
+    const auto known = senders_.find(connection);
+    if (known == senders_.end()) {
+        return false;
+    }
+    envelope.sender = known->second.name;
+    envelope.incarnation = known->second.incarnation;
+    return true;
+}
+
 void peer_links::report_changes(std::string_view peer, const reception& received) {
     const bool was_reachable =
         !received.changes.empty() && received.changes.front() != link_change::reachable;
@@ -168,6 +183,7 @@
         }
     }
     listener_.close_silent(detail::connection_silence_limit, now);
+    std::erase_if(senders_, [&](const auto& item) { return !listener_.is_open(item.first); });
 }
 
 void peer_links::replace_connection(link& peer_link, core::time_ms now) {
@@ -178,7 +194,12 @@
 absl::Status peer_links::send_envelope(link& peer_link, envelope_kind kind, std::string_view body) {
     // A data message that cannot be queued is counted too, so that the peer notices its loss.
     const auto now = core::ms_clock::now();
-    const auto bytes = wire::encode(peer_link.state.next_envelope(self_.name, kind, body, now));
+    auto envelope = peer_link.state.next_envelope(self_.name, kind, body, now);
+    if (!peer_link.dialer.starts_connection()) {
+        envelope.sender.clear();
+        envelope.incarnation = 0;
+    }
+    const auto bytes = wire::encode(envelope);
     auto status = peer_link.dialer.send(bytes);
     if (status.ok()) {
         peer_link.last_sent = now;
--- a/src/hawthornstall/net/peer_links.hpp
+++ b/src/hawthornstall/net/peer_links.hpp
@@ -112,11 +112,20 @@
         core::time_ms last_sent{};
     };
 
+    /// The process at the other end of an accepted connection.
+    struct connection_sender {
+        std::string name;
+        std::uint64_t incarnation = 0;
+    };
+
     /// Decodes a message, updates the sender's link, and answers a ping or passes data on. Returns
     /// whether the connection may stay open.
     [[nodiscard]] bool handle_message(std::uint64_t connection, std::string_view bytes);
     /// Reports the changes that an envelope has brought.
     void report_changes(std::string_view peer, const reception& received);
+    /// Puts the sender into an envelope that does not name it. Returns false if no envelope on the
+    /// connection has named it.
+    [[nodiscard]] bool complete_sender(std::uint64_t connection, peer_envelope& envelope);
     /// The sender's link, added if unlisted senders are accepted; null if it may not link.
     [[nodiscard]] link* find_or_add_sender(std::string_view name);
     /// Updates reachability, replaces connections to unresponsive peers and sends the pings.
@@ -131,6 +140,7 @@
     state_handler on_state_;
     peer_listener listener_;
     std::map<std::string, link, std::less<>> links_;
+    std::map<std::uint64_t, connection_sender> senders_; ///< By connection of the listener.
     link_counters counters_;
     runtime::event_handle first_ping_event_;
     runtime::event_handle ping_event_;
--- a/src/hawthornstall/net/peer_listener.hpp
+++ b/src/hawthornstall/net/peer_listener.hpp
@@ -39,6 +39,11 @@
     /// Listens on `address`, "ip:port".
     [[nodiscard]] absl::Status start(std::string_view address);
 
+    /// Whether the connection with this number is open.
+    [[nodiscard]] bool is_open(std::uint64_t connection) const {
+        return connections_.contains(connection);
+    }
+
     /// Closes connections on which nothing has arrived for longer than `limit`.
     void close_silent(core::duration_ms limit, core::time_ms now);
 
--- a/src/hawthornstall/runs/host_membership.cpp
+++ b/src/hawthornstall/runs/host_membership.cpp
@@ -9,6 +9,10 @@
 namespace hawthornstall::runs {
 namespace detail {
 
+/// The scheduler holds no targets in a zone with at least this many other hosts. In a smaller zone
+/// its share would be a heavy load for the others.
+constexpr std::size_t min_other_holders = 4;
+
 std::optional<std::string> pick(std::string_view key,
                                 std::span<const core::weighted_member> members) {
     const auto index = core::pick_owner(key, members);
@@ -85,6 +89,7 @@
                                                              std::string_view zone) const {
     std::vector<core::weighted_member> all_hosts;
     std::vector<core::weighted_member> zone_hosts;
+    const auto scheduling = scheduler();
     const auto add = [&](const host_presence& host) {
         if (host.leaving) {
             return;
@@ -99,6 +104,11 @@
     for (const auto& [name, host] : others_) {
         add(host);
     }
+    if (zone_hosts.size() > detail::min_other_holders) {
+        std::erase_if(zone_hosts, [&](const core::weighted_member& member) {
+            return member.name == scheduling;
+        });
+    }
     return detail::pick(target, zone_hosts.empty() ? all_hosts : zone_hosts);
 }
 
--- a/src/hawthornstall/runs/host_membership.hpp
+++ b/src/hawthornstall/runs/host_membership.hpp
@@ -52,7 +52,9 @@
     void reset_own_role() noexcept { scheduling_since_.reset(); }
 
     /// Host that should hold the lease of `target`, by weighted rendezvous hashing: one in the
-    /// target's availability zone if there is any, else any host. Empty when all are leaving.
+    /// target's availability zone if there is any, else any host. The scheduler holds no targets in
+    /// a zone with several other hosts: every run of every host passes through its link already.
+    /// Empty when all are leaving.
     [[nodiscard]] std::optional<std::string> preferred_holder(std::string_view target,
                                                               std::string_view zone) const;
 
--- a/tests/hawthornstall/net/peer_links_test.cpp
+++ b/tests/hawthornstall/net/peer_links_test.cpp
@@ -303,6 +303,81 @@
     }
 }
 
+struct naming_case {
+    std::string_view name;
+    std::vector<std::string_view> senders; ///< Of the envelopes on one connection, in order.
+    std::vector<std::string> received;
+    std::uint64_t malformed = 0;
+};
+
+// Guards against messages that are taken for those of another process, because only the first
+// envelope on a connection names its sender.
+TEST_CASE("the first envelope on a connection names the sender of all") {
+    const std::array cases{
+        naming_case{"named once", {"peer", "", ""}, {"peer:1", "peer:2", "peer:3"}},
+        naming_case{"named each time", {"peer", "peer"}, {"peer:1", "peer:2"}},
+        naming_case{"not named", {"", ""}, {}, 1},
+        naming_case{"a stranger", {"stranger", ""}, {}, 1},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        runtime::event_loop loop;
+        const auto addresses = testing::free_addresses<2>();
+        node self{loop, "self", addresses[0]};
+        REQUIRE(self.links.start(std::array{peer_endpoint{"peer", addresses[1]}}).ok());
+        peer_dialer dialer{loop, addresses[0]};
+        dialer.replace_connection();
+        std::uint64_t sequence = 0;
+        for (const auto sender : item.senders) {
+            const peer_envelope envelope{.sender = std::string{sender},
+                                         .incarnation = sender.empty() ? 0U : 7U,
+                                         .kind = envelope_kind::data,
+                                         .body = std::to_string(++sequence),
+                                         .sequence = sequence,
+                                         .heard_incarnation = 1};
+            REQUIRE(dialer.send(wire::encode(envelope)).ok());
+        }
+        const auto end = loop.after(core::duration_ms{100}, [&] { loop.stop(); });
+        loop.run();
+        CHECK(self.received == item.received);
+        CHECK(self.links.counters().malformed == item.malformed);
+        CHECK(self.links.counters().interrupted == 0);
+    }
+}
+
+// Guards against a peer that cannot be understood after its connection was replaced, and against
+// messages that name their sender although the connection has named it.
+TEST_CASE("a dialer knows which message is the first on its connection") {
+    runtime::event_loop loop;
+    const auto addresses = testing::free_addresses<1>();
+    peer_dialer dialer{loop, addresses[0]};
+    CHECK(dialer.starts_connection());
+    dialer.replace_connection();
+    REQUIRE(dialer.send("first").ok());
+    CHECK_FALSE(dialer.starts_connection());
+    // Nobody listens: the attempts to connect fail, and the message waits for the next one.
+    const auto end = loop.after(core::duration_ms{200}, [&] { loop.stop(); });
+    loop.run();
+    CHECK_FALSE(dialer.starts_connection());
+    std::vector<std::string> received;
+    peer_listener listener{loop, [&](std::uint64_t /*connection*/, std::string_view bytes) {
+                               received.emplace_back(bytes);
+                               loop.stop();
+                               return bytes != "first"; // Closes the connection.
+                           }};
+    REQUIRE(listener.start(addresses[0]).ok());
+    const auto limit = loop.after(test_timeout, [&] { loop.stop(); });
+    loop.run();
+    CHECK(received == std::vector<std::string>{"first"});
+    const auto until_closed = loop.after(core::duration_ms{100}, [&] { loop.stop(); });
+    loop.run();
+    CHECK(dialer.starts_connection());
+    REQUIRE(dialer.send("second").ok());
+    loop.run();
+    CHECK(received == std::vector<std::string>{"first", "second"});
+    CHECK_FALSE(dialer.starts_connection());
+}
+
 // Guards against a peer that never learns that this side has counted it as lost, because its
 // messages were late and not lost, and against a message that it sent before it knew.
 TEST_CASE("a peer that was silent for too long is told so") {
--- a/tests/hawthornstall/runs/host_membership_test.cpp
+++ b/tests/hawthornstall/runs/host_membership_test.cpp
@@ -79,6 +79,39 @@
     CHECK(view.scheduler() == "c");
 }
 
+struct excluded_case {
+    std::string_view name;
+    int other_hosts;  ///< In the zone of the scheduler.
+    bool expected;    ///< Whether the scheduler holds targets.
+};
+
+// Load: many small tasks on hosts with narrow links. Guards against a scheduler whose link carries
+// the starts of its own targets besides the grants and ends of all, and against a small zone in
+// which the other hosts would have to hold all targets.
+TEST_CASE("the scheduler holds no targets in a zone with enough other hosts") {
+    constexpr std::array cases{
+        excluded_case{"alone", 0, true},
+        excluded_case{"three others", 3, true},
+        excluded_case{"four others", 4, false},
+        excluded_case{"nine others", 9, false},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        host_membership view{make_host("scheduler", 0.3)};
+        for (int number = 0; number < item.other_hosts; ++number) {
+            view.on_presence(make_host("b" + std::to_string(number), 0.2));
+        }
+        REQUIRE(view.scheduler() == "scheduler");
+        bool holds = false;
+        for (int number = 0; number < 200; ++number) {
+            const auto holder = view.preferred_holder("w-" + std::to_string(number), "a");
+            REQUIRE(holder.has_value());
+            holds = holds || *holder == "scheduler";
+        }
+        CHECK(holds == item.expected);
+    }
+}
+
 struct held_case {
     std::string_view name;
     std::vector<std::pair<std::string, std::vector<std::string>>> presences; ///< Host and targets.
