--- a/src/hawthornstall/net/peer_links.cpp
+++ b/src/hawthornstall/net/peer_links.cpp
@@ -13,6 +13,10 @@
 /// A connection without messages for this long has been abandoned by the peer and is closed.
 constexpr core::duration_ms connection_silence_limit{5000};
 
+/// Pings are sent this long after a multiple of their interval. Timers may fire early by a tick of
+/// the kernel's coarse clock, 4 ms, and the ping would be one interval too early.
+constexpr core::duration_ms ping_phase{5};
+
 } // namespace detail
 
 peer_links::peer_links(runtime::event_loop& loop, identity self, message_handler on_message,
@@ -30,12 +34,14 @@
     for (const auto& peer : peers) {
         add(peer);
     }
-    // Pings are sent at multiples of the interval on the wall clock. Processes with synchronised
-    // clocks thus ping at the same times, and the pings of many peers are read in one iteration of
-    // the event loop.
+    // Pings are sent shortly after multiples of the interval on the wall clock. Processes with
+    // synchronised clocks thus ping at the same times, and the pings of many peers are read in one
+    // iteration of the event loop.
+    loop_.refresh_time();
     const auto since_last_multiple =
         core::ms_clock::wall_now().time_since_epoch() % self_.ping_every;
-    first_ping_event_ = loop_.after(self_.ping_every - since_last_multiple, [this] {
+    const auto delay = self_.ping_every - since_last_multiple + detail::ping_phase;
+    first_ping_event_ = loop_.after(delay, [this] {
         ping_event_ = loop_.every(self_.ping_every, [this] { check_liveness(); });
         check_liveness();
     });
--- a/src/hawthornstall/runtime/event_loop.cpp
+++ b/src/hawthornstall/runtime/event_loop.cpp
@@ -78,6 +78,10 @@
     return handle;
 }
 
+void event_loop::refresh_time() {
+    event_base_update_cache_time(base());
+}
+
 void event_loop::run() {
     event_base_loop(base(), EVLOOP_NO_EXIT_ON_EMPTY);
 }
--- a/src/hawthornstall/runtime/event_loop.hpp
+++ b/src/hawthornstall/runtime/event_loop.hpp
@@ -56,6 +56,10 @@
     /// Calls `callback` once after `delay` unless the handle is destroyed first.
     [[nodiscard]] event_handle after(core::duration_ms delay, std::function<void()> callback);
 
+    /// Lets the timers that are set in the present callback count from now on, and not from the
+    /// time at which the loop began to call callbacks.
+    void refresh_time();
+
     /// Dispatches events until stop() is called, also while none is registered.
     void run();
 
