Keep fencing tokens close to the clock however many targets a host claims

After all machines had lost power, the two hosts of port-spain were refused by their targets 25 times from 46.30 s to 47.4 s, 1 to 2 s after they had started. Each claim raised the host's token by a second, so that a holder of 16 targets left tokens up to 16 s ahead of the clock behind.

Change: a token is unique for its target only, which is what the target checks. Several targets claimed in the same second share one. A process starts a second ahead of its clock, so its tokens exceed those of its predecessor.

--- a/src/hawthornstall/runs/target_holder.cpp
+++ b/src/hawthornstall/runs/target_holder.cpp
@@ -40,22 +40,21 @@
 
 } // namespace detail
 
-std::uint64_t fencing_tokens::next(core::time_ms wall) {
+std::uint64_t fencing_tokens::next(std::string_view target, core::time_ms wall) {
     constexpr std::int64_t ms_per_second = 1000;
-    const auto second =
-        std::max<std::int64_t>(core::to_count(wall) / ms_per_second - token_origin_s, 1);
-    if (static_cast<std::uint64_t>(second) > last_second_) {
-        last_second_ = static_cast<std::uint64_t>(second);
-        skip_s_ = first_skip_s;
-    } else {
-        ++last_second_;
-    }
-    return (last_second_ << host_bit_count) | host_bits_;
+    const auto now = static_cast<std::uint64_t>(
+        std::max<std::int64_t>(core::to_count(wall) / ms_per_second - token_origin_s, 1));
+    latest_second_ = latest_second_ == 0 ? now + 1 : std::max(latest_second_, now);
+    std::erase_if(used_, [this](const auto& item) { return item.second.second < latest_second_; });
+    auto& used = used_[std::string{target}];
+    used.second = std::max(used.second + 1, latest_second_);
+    return (used.second << host_bit_count) | host_bits_;
 }
 
-void fencing_tokens::skip_ahead() {
-    last_second_ += skip_s_;
-    skip_s_ = std::min(2 * skip_s_, longest_skip_s);
+void fencing_tokens::skip_ahead(std::string_view target) {
+    auto& used = used_[std::string{target}];
+    used.second = std::max(used.second, latest_second_) + used.skip_s;
+    used.skip_s = std::min(2 * used.skip_s, longest_skip_s);
 }
 
 target_holder::target_holder(run_bounds bounds, std::uint64_t host_bits, core::time_ms now)
@@ -209,8 +208,8 @@
             return;
         }
         const auto inserted = sessions_.emplace(
-            record.id, held_session{.session = target_session{record, tokens_.next(wall), bounds_,
-                                                              *front_ends_, now},
+            record.id, held_session{.session = target_session{record, tokens_.next(record.id, wall),
+                                                              bounds_, *front_ends_, now},
                                     .claimed_at = now});
         effects_.held_changed = true;
         collect_effects(inserted.first->second.session);
@@ -221,7 +220,7 @@
 void target_holder::follow_announcement(held_session& held, const discovery::target_record& record,
                                         core::time_ms now, core::time_ms wall) {
     if (held.session.is_restart(record)) {
-        held.session.claim_restarted(record, tokens_.next(wall), now);
+        held.session.claim_restarted(record, tokens_.next(record.id, wall), now);
         held.claimed_at = now;
         collect_effects(held.session);
     } else {
@@ -232,7 +231,6 @@
 void target_holder::release_targets(const discovery::target_directory& directory,
                                     const host_membership& hosts, core::time_ms now,
                                     core::time_ms wall) {
-    bool is_fenced = false;
     for (auto position = sessions_.begin(); position != sessions_.end();) {
         auto& [id, held] = *position;
         const auto* const record = directory.find(id);
@@ -245,7 +243,7 @@
         const bool is_unreachable =
             !held.session.is_claimed() && now - held.claimed_at > detail::claim_timeout;
         if (held.session.is_fenced()) {
-            is_fenced = true;
+            tokens_.skip_ahead(id);
             retry_at_[id] = now + detail::fenced_retry_delay;
         } else if (is_unreachable) {
             retry_at_[id] = now + detail::unreachable_retry_delay;
@@ -257,9 +255,6 @@
             ++position;
         }
     }
-    if (is_fenced) {
-        tokens_.skip_ahead();
-    }
 }
 
 void target_holder::report_to(const std::string& scheduler, core::time_ms now) {
--- a/src/hawthornstall/runs/target_holder.hpp
+++ b/src/hawthornstall/runs/target_holder.hpp
@@ -18,22 +18,23 @@
 
 namespace hawthornstall::runs {
 
-/// Generates fencing tokens that increase and differ from those of all other hosts. A token has
-/// seconds in its high bits and the host's bits in its low ones.
+/// Generates fencing tokens. Those for one target increase and differ from those of all other
+/// hosts; several targets may share one. A token has seconds in its high bits and the host's bits
+/// in its low ones. The seconds stay close to the clock however many targets are claimed: a holder
+/// that is lost would otherwise leave tokens behind that its successors cannot exceed for a while.
 class fencing_tokens {
 public:
     /// The low 24 bits of `host_bits` must differ between hosts.
     explicit fencing_tokens(std::uint64_t host_bits) : host_bits_(host_bits & host_mask) {}
 
-    /// Next token, from the wall clock. It is higher than those of earlier processes of this host
-    /// if `wall` has advanced by at least a second since; otherwise the target refuses the token
-    /// and a later one is tried.
-    [[nodiscard]] std::uint64_t next(core::time_ms wall);
+    /// Next token for `target`, from the wall clock. The first ones are a second ahead of it, so
+    /// that they are higher than those of an earlier process of this host.
+    [[nodiscard]] std::uint64_t next(std::string_view target, core::time_ms wall);
 
-    /// Makes the next token skip ahead. Called after a target refused a token because another
-    /// holder, whose clock may be ahead, has used a higher one. The skip is 4 s and doubles with
-    /// each further call, up to 64 s, until the wall clock has passed the last token.
-    void skip_ahead();
+    /// Makes the next token for `target` skip ahead. Called after the target refused a token
+    /// because another holder, whose clock may be ahead, has used a higher one. The skip is 4 s and
+    /// doubles with each further call, up to 64 s, until the wall clock has passed the last token.
+    void skip_ahead(std::string_view target);
 
 private:
     static constexpr std::uint64_t first_skip_s = 4;
@@ -44,9 +45,16 @@
     /// numbers represent exactly until 2037.
     static constexpr std::int64_t token_origin_s = 1'577'836'800;
 
+    /// The last token of a target.
+    struct used_token {
+        std::uint64_t second = 0; ///< Since `token_origin_s`; more after skip_ahead().
+        std::uint64_t skip_s = first_skip_s;
+    };
+
     std::uint64_t host_bits_;
-    std::uint64_t last_second_ = 0; ///< Seconds since `token_origin_s`, more after skip_ahead().
-    std::uint64_t skip_s_ = first_skip_s;
+    std::uint64_t latest_second_ = 0; ///< Of the wall clock; a second ahead at first.
+    /// Tokens that the wall clock has not passed yet, by target.
+    std::map<std::string, used_token, std::less<>> used_;
 };
 
 /// An event of a session with the target that it concerns.
--- a/tests/hawthornstall/runs/host_membership_test.cpp
+++ b/tests/hawthornstall/runs/host_membership_test.cpp
@@ -81,8 +81,8 @@
 
 struct excluded_case {
     std::string_view name;
-    int other_hosts;  ///< In the zone of the scheduler.
-    bool expected;    ///< Whether the scheduler holds targets.
+    int other_hosts; ///< In the zone of the scheduler.
+    bool expected;   ///< Whether the scheduler holds targets.
 };
 
 // Load: many small tasks on hosts with narrow links. Guards against a scheduler whose link carries
--- a/tests/hawthornstall/runs/target_holder_test.cpp
+++ b/tests/hawthornstall/runs/target_holder_test.cpp
@@ -136,11 +136,11 @@
     std::uint64_t last = 0;
     std::set<std::uint64_t> all;
     for (const int step : {0, 0, 5'000, -9'000, 1'000}) {
-        const auto token = first.next(wall_time + duration_ms{step});
+        const auto token = first.next("w-1", wall_time + duration_ms{step});
         CHECK(token > last);
         last = token;
         all.insert(token);
-        all.insert(second.next(wall_time + duration_ms{step}));
+        all.insert(second.next("w-1", wall_time + duration_ms{step}));
         CHECK(token < (std::uint64_t{1} << 53));
     }
     CHECK(all.size() == 10);
@@ -160,16 +160,46 @@
         CAPTURE(item.ahead.count());
         fencing_tokens before{0x0a010011};
         fencing_tokens after{0x0a010012};
-        const auto held = before.next(wall_time + item.ahead);
+        const auto held = before.next("w-1", wall_time + item.ahead);
         int refusals = 0;
-        while (after.next(wall_time) < held) {
-            after.skip_ahead();
+        while (after.next("w-1", wall_time) < held) {
+            after.skip_ahead("w-1");
             ++refusals;
         }
         CHECK(refusals == item.refusals);
     }
 }
 
+struct successor_case {
+    std::string_view name;
+    int targets;             ///< Claimed by the first holder at the same time.
+    duration_ms lost_for;    ///< From that claim to the one of the second holder.
+    std::uint64_t successor; ///< Host bits of the second holder; 2 are those of the first.
+};
+
+// Load: all machines lose power some seconds after a holder has claimed many targets. Guards
+// against tokens that run ahead of the clock with each claim: the next holders were refused for
+// more than a second after they had started.
+TEST_CASE("the next holder's first token exceeds those of a holder that claimed many targets") {
+    const std::array cases{
+        successor_case{"one target", 1, duration_ms{2'000}, 1},
+        successor_case{"many targets", 60, duration_ms{2'000}, 1},
+        successor_case{"a new process of the same host", 60, duration_ms{900}, 2},
+        successor_case{"a new process in the same second", 60, duration_ms{0}, 2},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        fencing_tokens before{2};
+        (void)before.next("first", wall_time - duration_ms{60'000});
+        fencing_tokens after{item.successor};
+        for (int number = 0; number < item.targets; ++number) {
+            const auto target = "w-" + std::to_string(number);
+            const auto held = before.next(target, wall_time);
+            CHECK(after.next(target, wall_time + item.lost_for) > held);
+        }
+    }
+}
+
 // Guards against a start message without an answer because its target has moved to another holder.
 TEST_CASE("a run on a target that is not held is rejected") {
     target_holder holder{{}, 1, start_time};
