--- a/tests/hawthornstall/control/file_storage_faults_test.cpp
+++ b/tests/hawthornstall/control/file_storage_faults_test.cpp
@@ -107,7 +107,7 @@
 struct fault_case {
     std::string_view name;
     disk_fault fault;
-    int lots; ///< Outcomes that are tried for what is not synced.
+    unsigned seeds; ///< Number of random outcomes that are tried for what is not synced.
 };
 
 const std::array work_cases{
@@ -149,14 +149,14 @@
     };
     for (const auto& work : work_cases) {
         for (const auto& fault : faults) {
-            for (int lot = 0; lot < fault.lots; ++lot) {
+            for (unsigned seed = 0; seed < fault.seeds; ++seed) {
                 bool completed = false;
                 for (std::size_t operation = 1; !completed; ++operation) {
                     CAPTURE(work.name);
                     CAPTURE(fault.name);
-                    CAPTURE(lot);
+                    CAPTURE(seed);
                     CAPTURE(operation);
-                    std::mt19937 random{static_cast<unsigned>(lot)};
+                    std::mt19937 random{seed};
                     simulated_disk disk;
                     auto first = open_storage(disk);
                     REQUIRE(first.ok());
--- a/tests/hawthornstall/control/simulated_disk.hpp
+++ b/tests/hawthornstall/control/simulated_disk.hpp
@@ -65,7 +65,7 @@
     [[nodiscard]] std::size_t operations() const noexcept { return operations_; }
     [[nodiscard]] bool has_power() const noexcept { return has_power_; }
 
-    /// Starts the machine again: what is not durable is present, missing or torn by lot.
+    /// Starts the machine again: what is not durable is present, missing or torn at random.
     void restart(std::mt19937& random) {
         if (!has_power_) {
             lose_unsynced(random);
@@ -143,16 +143,16 @@
 
 private:
     void lose_unsynced(std::mt19937& random) {
-        std::uniform_int_distribution<int> lot{0, 3}; // 0: nothing of a change arrives.
+        std::uniform_int_distribution<int> choice{0, 3}; // 0: nothing of a change arrives.
         for (const auto& change : unsynced_names_) {
-            if (!loses_all_unsynced_ && lot(random) > 0) {
+            if (!loses_all_unsynced_ && choice(random) > 0) {
                 change(durable_names_);
             }
         }
         for (const auto& [name, file] : durable_names_) {
             auto content = file->durable;
             for (const auto& change : file->unsynced) {
-                const auto outcome = loses_all_unsynced_ ? 0 : lot(random);
+                const auto outcome = loses_all_unsynced_ ? 0 : choice(random);
                 if (outcome > 0) {
                     change(content, static_cast<extent>(outcome - 1), random());
                 }
