--- a/src/hawthornstall/control/append_planner.cpp
+++ b/src/hawthornstall/control/append_planner.cpp
@@ -3,12 +3,27 @@
 #include <algorithm>
 
 namespace hawthornstall::control {
+namespace detail {
+
+void clear_in_flight(member_progress& progress) {
+    progress.in_flight_index = 0;
+    progress.snapshot_round.reset();
+}
+
+/// Whether `reply` shows that the member has not received the snapshot in flight, or that its reply
+/// to it was lost. Messages on a link arrive in their order, so a member that answers a later round
+/// has answered the snapshot before.
+bool shows_lost_snapshot(const append_reply& reply, const member_progress& progress) {
+    return progress.snapshot_round && reply.round > *progress.snapshot_round;
+}
+
+} // namespace detail
 
 std::optional<std::variant<append_request, snapshot_needed>>
 plan_append(const append_header& header, const memory_log& log, const consensus_settings& settings,
             member_progress& progress, core::time_ms now) {
     if (progress.in_flight_index != 0 && now >= progress.resend_at) {
-        progress.in_flight_index = 0;
+        detail::clear_in_flight(progress);
     }
     const bool has_entries =
         progress.in_flight_index == 0 && progress.next_index <= log.last().index;
@@ -29,6 +44,7 @@
     if (!previous_term) {
         if (progress.in_flight_index == 0) {
             progress.in_flight_index = log.base().index;
+            progress.snapshot_round = header.round;
             progress.resend_at = now + settings.resend_snapshot_after;
             return snapshot_needed{};
         }
@@ -54,14 +70,15 @@
     if (reply.matched) {
         progress.match_index = std::max(progress.match_index, reply.index);
         progress.next_index = std::max(progress.next_index, progress.match_index + 1);
-        if (progress.match_index >= progress.in_flight_index) {
-            progress.in_flight_index = 0;
+        if (progress.match_index >= progress.in_flight_index ||
+            detail::shows_lost_snapshot(reply, progress)) {
+            detail::clear_in_flight(progress);
         }
     } else {
         // A delayed reply may ask for entries that have been matched in the meantime.
         progress.next_index =
             std::max(progress.match_index, std::min(reply.index, progress.next_index - 1)) + 1;
-        progress.in_flight_index = 0;
+        detail::clear_in_flight(progress);
     }
 }
 
--- a/src/hawthornstall/control/consensus_settings.hpp
+++ b/src/hawthornstall/control/consensus_settings.hpp
@@ -30,7 +30,8 @@
     /// An unanswered append request is sent again after this time; the synced write of its receiver
     /// takes several ms.
     core::duration_ms resend_after{500};
-    /// An unanswered snapshot, of up to 50 MB, is sent again after this time.
+    /// A snapshot, of up to 50 MB, is sent again after this time if the member answers nothing, and
+    /// at once if it answers a later message instead.
     core::duration_ms resend_snapshot_after{10'000};
     std::size_t max_entries_per_append = 256;
     /// Number of entries after which the log is compacted into a snapshot.
--- a/src/hawthornstall/control/replication_progress.hpp
+++ b/src/hawthornstall/control/replication_progress.hpp
@@ -25,6 +25,7 @@
     std::uint64_t sent_commit = 0;
     std::uint64_t in_flight_index = 0; ///< Last entry that was sent and is unanswered, or 0.
     core::time_ms resend_at{};         ///< When entries in flight count as lost.
+    std::optional<std::uint64_t> snapshot_round{}; ///< Round sent with the snapshot in flight.
     /// Latest reply, or the first call of silent_members() after it became a member.
     std::optional<core::time_ms> heard_at{};
 };
--- a/tests/hawthornstall/control/consensus_node_test.cpp
+++ b/tests/hawthornstall/control/consensus_node_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,11 +42,25 @@
     void restart_all() {
         network.clear();
         for (std::size_t index = 0; index < nodes.size(); ++index) {
-            nodes[index] = consensus_node<memory_storage>{memory_storage{disks[index]}, settings,
-                                                          index + 1, now};
+            restart(index);
         }
     }
 
+    /// Restarts a host with what is on its disk.
+    void restart(std::size_t index) {
+        nodes[index] =
+            consensus_node<memory_storage>{memory_storage{disks[index]}, settings, index + 1, now};
+    }
+
+    /// Restarts a host with an empty disk, as a new member that must not create a cluster.
+    void lose_disk(std::size_t index) {
+        const member_id lost = disks[index]->state.self;
+        disks[index] = std::make_shared<simulated_disk>();
+        disks[index]->state.self = {.host = lost.host, .storage_id = lost.storage_id + 100};
+        settings.may_create_cluster = false;
+        restart(index);
+    }
+
     [[nodiscard]] std::vector<std::size_t> reachable() const {
         std::vector<std::size_t> hosts;
         for (std::size_t index = 0; index < nodes.size(); ++index) {
@@ -62,7 +77,8 @@
             const auto arrived = std::exchange(network, {});
             for (const auto& message : arrived) {
                 const auto target = index_of(message.to.host);
-                if (!partitioned[target] && !partitioned[index_of(message.from.host)]) {
+                if (!partitioned[target] && !partitioned[index_of(message.from.host)] &&
+                    !is_lost(message)) {
                     nodes[target].receive(message, now);
                 }
             }
@@ -103,6 +119,9 @@
     std::vector<std::shared_ptr<simulated_disk>> disks;
     std::vector<consensus_node<memory_storage>> nodes;
     std::vector<bool> partitioned;
+    std::function<bool(const peer_message&)> is_lost = [](const peer_message&) {
+        return false;
+    };
     std::vector<peer_message> network;
 };
 
@@ -301,6 +320,76 @@
     }
 }
 
+enum class snapshot_loss : std::uint8_t {
+    none,
+    request,             ///< The snapshot does not arrive.
+    request_and_process, ///< The receiver is restarted when the snapshot arrives.
+    reply,               ///< The snapshot is installed, and the reply to it does not arrive.
+};
+
+struct snapshot_loss_case {
+    std::string_view name;
+    snapshot_loss loss;
+};
+
+constexpr std::array snapshot_loss_cases{
+    snapshot_loss_case{"nothing is lost", snapshot_loss::none},
+    snapshot_loss_case{"the snapshot is lost", snapshot_loss::request},
+    snapshot_loss_case{"the receiver is restarted", snapshot_loss::request_and_process},
+    snapshot_loss_case{"the reply is lost", snapshot_loss::reply},
+};
+
+/// Shortest time after which a host that lost its disk must be a voter again, since another one may
+/// lose its disk then.
+constexpr core::duration_ms shortest_catch_up_time{4'000};
+
+/// Lets the first snapshot for `receiver`, or the reply to it, be lost.
+void lose_snapshot(small_cluster& cluster, std::size_t receiver, snapshot_loss loss) {
+    cluster.is_lost = [&cluster, receiver, loss, is_done = false,
+                       is_sent = false](const peer_message& message) mutable {
+        const auto& member = cluster.disks[receiver]->state.self;
+        const bool is_snapshot =
+            message.to == member && std::holds_alternative<snapshot_request>(message.body);
+        const bool is_reply =
+            is_sent && message.from == member && std::holds_alternative<append_reply>(message.body);
+        is_sent = is_sent || is_snapshot;
+        const bool is_chosen = loss == snapshot_loss::reply ? is_reply : is_snapshot;
+        if (loss == snapshot_loss::none || !is_chosen || std::exchange(is_done, true)) {
+            return false;
+        }
+        if (loss == snapshot_loss::request_and_process) {
+            cluster.restart(receiver);
+        }
+        return true;
+    };
+}
+
+// Guards against a cluster without a majority: a host that lost its disk did not become a voter in
+// time, because its lost snapshot was sent again only after 10 s, and then another one lost its
+// disk.
+TEST_CASE("a host whose snapshot is lost votes before another host may lose its disk") {
+    for (const auto& test : snapshot_loss_cases) {
+        CAPTURE(test.name);
+        small_cluster cluster{3};
+        cluster.run_for(join_time);
+        const auto first = (cluster.leader() + 1) % 3;
+        const auto second = (cluster.leader() + 2) % 3;
+        lose_snapshot(cluster, first, test.loss);
+        for (const auto host : {first, second}) {
+            CAPTURE(host);
+            cluster.lose_disk(host);
+            cluster.run_for(shortest_catch_up_time);
+            CHECK(is_voter(cluster.nodes[cluster.leader()].members(),
+                           cluster.disks[host]->state.self));
+        }
+        auto& leader = cluster.nodes[cluster.leader()];
+        const auto position = leader.propose(make_edit("e", 0));
+        REQUIRE(position.has_value());
+        cluster.run_for(2 * round_trip);
+        CHECK(leader.commit_index() >= position->index);
+    }
+}
+
 // Guards against a voter that was removed during an outage and doesn't return to the voters.
 TEST_CASE("a voter that was removed while it was unreachable becomes a voter again") {
     small_cluster cluster{4};
