Simulate late calls with restarts and cuts of targets

Now a call without an answer is executed never, at once, up to 15 s late, or both; late leases may count anew; a target restarts under its id behind a cut or is cut off and runs on; a job has two tasks and its caller waits long enough for a second start.

--- a/tests/hawthornstall/runs/lost_host_simulation.cpp
+++ b/tests/hawthornstall/runs/lost_host_simulation.cpp
@@ -18,7 +18,6 @@
 /// After the request; the caller has returned by then and its second run has started.
 constexpr duration_ms observed_time{1'700};
 
-constexpr duration_ms network_delay{1};
 /// Delay of what a process has sent shortly before it was killed: its kernel sends lost packets
 /// again.
 constexpr duration_ms late_packet_delay{600};
@@ -31,8 +30,6 @@
 constexpr core::resources capacity{.cpu_millis = 64'000, .memory_mb = 1'000};
 constexpr core::resources task_size{.cpu_millis = 27'000, .memory_mb = 64};
 constexpr duration_ms never_done{600'000};
-constexpr double slow_clock = 0.98;
-
 constexpr std::string_view preferred_rack = "rack";
 const std::string front_end = "front-end";
 const std::string scheduler = "scheduler";
@@ -54,18 +51,19 @@
     return record;
 }
 
-job_request make_job(duration_ms deadline, duration_ms estimated) {
+job_request make_job(const loss_scenario& scenario) {
     job_request job;
     job.id = "job";
     job.steps.resize(1);
+    job.steps[0].count = scenario.tasks;
     job.steps[0].resources = task_size;
-    job.steps[0].estimated = estimated;
+    job.steps[0].estimated = scenario.estimated;
     job.steps[0].data_rack = preferred_rack;
     job.terms = {.service = "restock",
                  .max_attempts = 3,
                  .stretch = 1.6,
                  .latency_target = duration_ms{60},
-                 .deadline = deadline};
+                 .deadline = scenario.deadline};
     return job;
 }
 
@@ -97,9 +95,16 @@
                 host.links.states.try_emplace(peer, incarnation);
             }
         }
-        for (const auto& [id, worker] : targets_) {
-            host.logic.directory().announce(make_record(id, id == target_), local(name));
-        }
+        announce_targets(name, host);
+    }
+}
+
+/// Announces the targets' processes that are known to the control hosts.
+void lost_host_simulation::announce_targets(const std::string& name, host_process& host) {
+    for (const auto& [id, worker] : targets_) {
+        auto record = make_record(id, id == target_);
+        record.incarnation = is_restart_announced_ ? worker.incarnation : record.incarnation;
+        host.logic.directory().announce(record, local(name));
     }
 }
 
@@ -113,7 +118,7 @@
         (view.preferred_holder(id, "bilbao") == holder ? target_ : other) = id;
     }
     for (const auto& id : {target_, other}) {
-        targets_.try_emplace(id, capacity, never_done, 5'000, slow_clock);
+        targets_.try_emplace(id, capacity, never_done, 5'000, slow_clock_rate);
     }
 }
 
@@ -127,6 +132,7 @@
 
 void lost_host_simulation::step() {
     restart_process();
+    restart_target();
     thaw();
     deliver_packets();
     deliver_calls();
@@ -195,7 +201,23 @@
            (second && lasts(second->part, second->kind, second->lost_at, second->frozen_for));
 }
 
+/// When `part` is lost in the way of `kind`; nothing if it is not.
+std::optional<duration_ms> lost_host_simulation::time_of(lost_part part, loss_kind kind) const {
+    if (scenario_.part == part && scenario_.kind == kind) {
+        return scenario_.lost_at;
+    }
+    const auto& second = scenario_.second;
+    return second && second->part == part && second->kind == kind ? std::optional{second->lost_at}
+                                                                  : std::nullopt;
+}
+
 bool lost_host_simulation::has_ended(std::string_view name) const {
+    if (name == target_ && has_target_restarted_) {
+        const auto restarted_at = *time_of(lost_part::target, loss_kind::reborn);
+        if (since_request() < restarted_at + restart_time) {
+            return true;
+        }
+    }
     return is_lost(name, loss_kind::killed) || is_lost(name, loss_kind::dark) ||
            (is_lost(name, loss_kind::restarted) && !has_restarted_);
 }
@@ -208,9 +230,11 @@
 bool lost_host_simulation::is_path_up(std::string_view from, std::string_view to) const {
     const bool between_hosts =
         hosts_.contains(std::string{from}) && hosts_.contains(std::string{to});
-    const bool is_sender_cut =
-        is_lost(from, loss_kind::dark) || is_lost(from, loss_kind::cut_outgoing);
-    const bool is_receiver_cut = has_ended(to) || is_lost(to, loss_kind::cut_incoming);
+    const bool is_sender_cut = is_lost(from, loss_kind::dark) ||
+                               is_lost(from, loss_kind::cut_outgoing) ||
+                               is_lost(from, loss_kind::cut_off);
+    const bool is_receiver_cut =
+        has_ended(to) || is_lost(to, loss_kind::cut_incoming) || is_lost(to, loss_kind::cut_off);
     const bool is_partition = between_hosts && (is_lost(from, loss_kind::cut_from_hosts) ||
                                                 is_lost(to, loss_kind::cut_from_hosts));
     const auto other = name_of(scenario_.other);
@@ -242,8 +266,26 @@
             host.links.states.try_emplace(peer, incarnation + 1);
         }
     }
-    for (const auto& [id, worker] : targets_) {
-        host.logic.directory().announce(make_record(id, id == target_), local(name));
+    announce_targets(name, host);
+}
+
+/// Ends the target's process when it is time; another one starts under its id, which the hosts
+/// learn of later.
+void lost_host_simulation::restart_target() {
+    const auto restart_at = time_of(lost_part::target, loss_kind::reborn);
+    if (!restart_at || since_request() < *restart_at) {
+        return;
+    }
+    if (!std::exchange(has_target_restarted_, true)) {
+        targets_.at(target_).restart_at(now_);
+        break_calls_to_target();
+    }
+    const auto announced_at = *restart_at + restart_time + scenario_.announced_after;
+    if (since_request() < announced_at || std::exchange(is_restart_announced_, true)) {
+        return;
+    }
+    for (auto& [name, host] : hosts_) {
+        announce_targets(name, host);
     }
 }
 
@@ -371,80 +413,6 @@
            std::uniform_real_distribution<>{}(random_) < scenario_.fault_share;
 }
 
-void lost_host_simulation::execute_late_calls() {
-    for (auto& item : late_calls_) {
-        if (item.due == now_ && is_running(item.call.target)) {
-            (void)targets_.at(item.call.target).execute(item.call, now_);
-        }
-    }
-}
-
-void lost_host_simulation::call_target(const std::string& host, const target_call& call) {
-    calls_.push_back({.due = now_ + network_delay,
-                      .host = host,
-                      .call = call,
-                      .answer = {},
-                      .process = hosts_.at(host).process});
-}
-
-void lost_host_simulation::deliver_calls() {
-    const auto due = std::stable_partition(calls_.begin(), calls_.end(),
-                                           [&](const auto& item) { return item.due > now_; });
-    std::vector<pending_call> arrived{std::make_move_iterator(due),
-                                      std::make_move_iterator(calls_.end())};
-    calls_.erase(due, calls_.end());
-    for (auto& item : arrived) {
-        if (!item.answer) {
-            execute(item);
-            continue;
-        }
-        auto& host = hosts_.at(item.host);
-        if (item.process != host.process) {
-            continue;
-        }
-        if (is_running(item.host)) {
-            host.logic.answered(item.call, *item.answer, local(item.host));
-            host.has_input = true;
-        } else if (is_frozen(item.host)) {
-            host.unread_calls.push_back(std::move(item));
-        }
-    }
-}
-
-/// Executes a call that has arrived at its target and sends the answer.
-void lost_host_simulation::execute(pending_call& item) {
-    const auto& call = item.call;
-    const bool is_stop = std::holds_alternative<stop_call>(call.request);
-    const bool is_executed = is_path_up(item.host, call.target) && is_running(call.target) &&
-                             (scenario_.stops_answered || !is_stop);
-    const auto unanswered_at = now_ - network_delay + call.timeout;
-    item.answer = call_answer{.fault = call_fault::unanswered, .reason = "no answer"};
-    item.due = unanswered_at;
-    if (chance()) {
-        auto late = item;
-        late.due = now_ + duration_ms{static_cast<int>(random_() % 3'000)};
-        if (random_() % 2 == 0) {
-            late_calls_.push_back(late);
-        }
-        calls_.push_back(std::move(item));
-        return;
-    }
-    if (is_executed) {
-        auto answer = targets_.at(call.target).execute(call, now_);
-        const auto* const listing = std::get_if<list_call>(&call.request);
-        const auto wait = listing == nullptr ? duration_ms{0} : listing->wait;
-        if (is_path_up(call.target, item.host)) {
-            // The answer to a long poll shows the end of its wait.
-            answer.clock_ms =
-                answer.clock_ms.value() +
-                static_cast<std::int64_t>(slow_clock * static_cast<double>(wait.count()));
-            item.answer = std::move(answer);
-            item.due = now_ + wait + network_delay;
-        }
-    }
-    calls_.push_back(std::move(item));
-}
-
 void lost_host_simulation::act_as_caller() {
     if (since_request() == duration_ms{0}) {
         outcome_.caller_returns_at = scenario_.deadline + run_bounds{}.resubmission_delay;
@@ -476,19 +444,20 @@
 
 void lost_host_simulation::submit(const std::string& through) {
     auto& host = hosts_.at(through);
-    host.logic.open(1, make_job(scenario_.deadline, scenario_.estimated), local(through),
-                    local(through));
+    host.logic.open(1, make_job(scenario_), local(through), local(through));
     host.has_input = true;
 }
 
 void lost_host_simulation::observe() {
-    int executing = 0;
+    std::map<task_name, int> executing; // Number of runs by task.
     for (auto& [id, worker] : targets_) {
         const bool is_gone = id == target_ && (is_lost(target_, loss_kind::killed) ||
                                                is_lost(target_, loss_kind::dark));
         worker.advance(now_);
         const auto running = is_gone ? std::vector<run_name>{} : worker.running();
-        executing += static_cast<int>(running.size());
+        for (const auto& run : running) {
+            outcome_.overlapped = ++executing[run.task] > 1 || outcome_.overlapped;
+        }
         auto& known = first_attempt_[id];
         if (!submitted_again_) {
             known.insert(running.begin(), running.end());
@@ -506,7 +475,6 @@
             outcome_.last_execution = since_request();
         }
     }
-    outcome_.overlapped = outcome_.overlapped || executing > 1;
 }
 
 } // namespace hawthornstall::runs
--- a/tests/hawthornstall/runs/lost_host_simulation.hpp
+++ b/tests/hawthornstall/runs/lost_host_simulation.hpp
@@ -33,6 +33,8 @@
     cut_to_other,   ///< Nothing that it sends to `other` arrives.
     cut_from_other, ///< Nothing that `other` sends to it arrives.
     cut_between,    ///< Nothing arrives between it and `other`.
+    cut_off,        ///< Nothing arrives at it or from it, and it runs on.
+    reborn,         ///< A target's process ends; a new one with the same id starts 500 ms later.
 };
 
 /// Another loss of the same scenario.
@@ -57,7 +59,12 @@
     core::duration_ms estimated{900};
     double fault_share = 0.0; ///< Of packets that are sent again, and of calls lost or late.
     unsigned seed = 1;
-    double front_end_rate = 1.0; ///< Of the clock of the host "front-end".
+    double front_end_rate = 1.0;            ///< Of the clock of the host "front-end".
+    std::uint32_t tasks = 1;                ///< Of the job; a target has room for two.
+    core::duration_ms longest_delay{3'000}; ///< Of calls that are executed late.
+    /// Whether the lease that a late call grants counts from its execution.
+    bool late_leases_count_anew = false;
+    core::duration_ms announced_after{1'000}; ///< From a restart of a target's process.
 };
 
 /// What became of the run that was lost. All times count from the caller's request.
@@ -78,6 +85,10 @@
     [[nodiscard]] loss_outcome run();
 
 private:
+    static constexpr core::duration_ms network_delay{1};
+    static constexpr core::duration_ms restart_time{500}; ///< Of a target's process.
+    static constexpr double slow_clock_rate = 0.98;       ///< Of the targets' clocks.
+
     /// The links of one process, as dispatch_logic sees them.
     struct host_links {
         [[nodiscard]] net::sign_of_life last_sign_of_life(std::string_view peer) const;
@@ -103,6 +114,7 @@
         target_call call;
         std::optional<call_answer> answer; ///< Empty until the target has answered.
         std::uint64_t process = 1;         ///< Incarnation of the host that calls.
+        std::uint64_t incarnation = 1;     ///< Of the target's process that the call has reached.
     };
 
     struct host_process {
@@ -132,6 +144,13 @@
     void receive(host_process& host, const packet& item);
     void deliver_calls();
     void execute(pending_call& item);
+    [[nodiscard]] bool lose(const pending_call& item, bool can_execute);
+    void execute_late_calls();
+    void execute_late(const pending_call& item);
+    void restart_target();
+    void announce_targets(const std::string& name, host_process& host);
+    void break_calls_to_target();
+    [[nodiscard]] std::optional<core::duration_ms> time_of(lost_part part, loss_kind kind) const;
     void thaw();
     void check_links(const std::string& name, host_process& host);
     void flush(const std::string& name, host_process& host);
@@ -156,13 +175,14 @@
     bool submitted_again_ = false;
     std::set<std::string> frozen_;
     bool has_restarted_ = false;
+    bool has_target_restarted_ = false;
+    bool is_restart_announced_ = false;
     bool was_broken_ = false;
     bool is_request_waiting_ = false;
     std::mt19937 random_;
     std::map<std::pair<std::string, std::string>, core::time_ms> link_due_;
     std::vector<pending_call> late_calls_;
     [[nodiscard]] bool chance();
-    void execute_late_calls();
     loss_outcome outcome_;
 };
 
