--- a/src/hawthornstall/runs/target_session.cpp
+++ b/src/hawthornstall/runs/target_session.cpp
@@ -32,10 +32,6 @@
 /// acknowledges its ends.
 constexpr core::duration_ms listing_interval{200};
 
-/// A call without an answer may still be executed for this long, and a lease that it grants may
-/// count from then on. Targets execute some calls up to 12 s late.
-constexpr core::duration_ms longest_call_delay{15'000};
-
 /// Whether `request` extends the lease of the target's runs.
 bool has_lease(const target_request& request) {
     const auto* const listing = std::get_if<list_call>(&request);
@@ -43,19 +39,13 @@
                               : listing->lease_until_ms.has_value();
 }
 
-/// Time after a call that extends the lease until that lease has certainly ended.
-core::duration_ms time_until_expired(const run_bounds& bounds) {
-    return lease_upper_bound(bounds.longest_lease) + call_timeout;
-}
-
 } // namespace detail
 
 target_session::target_session(discovery::target_record record, std::uint64_t token,
                                run_bounds bounds, const front_end_liveness& front_ends,
                                core::time_ms now)
     : record_(std::move(record)), token_(token), bounds_(bounds), front_ends_(&front_ends),
-      leases_expired_at_(now + detail::time_until_expired(bounds)), next_listing_at_(now),
-      incarnation_(record_.incarnation) {
+      lease_(bounds, now), next_listing_at_(now), incarnation_(record_.incarnation) {
     request_listing(core::duration_ms{0}, now);
 }
 
@@ -92,8 +82,7 @@
                           .started = now,
                           .state_since = now};
     auto reason = reason_to_reject(message);
-    if (reason.empty() && lease_end_ && target_clock_ &&
-        *lease_end_ > target_clock_by(latest_end(entry), *target_clock_, target_clock_at_)) {
+    if (reason.empty() && lease_.end() && *lease_.end() > lease_.clock_by(latest_end(entry))) {
         // A lease cannot be shortened, so the run could outlive what its caller waits.
         reason = "the front end was not heard of for too long";
     }
@@ -210,8 +199,8 @@
 /// answers to two calls may arrive in either order, so a clock that is little behind shows nothing.
 bool target_session::is_of_later_process(const call_answer& answer) const noexcept {
     const auto longest_call = detail::idle_poll_time + detail::call_timeout;
-    return answer.clock_ms && target_clock_ &&
-           *answer.clock_ms < *target_clock_ - longest_call.count();
+    return answer.clock_ms && lease_.clock() &&
+           *answer.clock_ms < *lease_.clock() - longest_call.count();
 }
 
 void target_session::record_answer(const pending_call& call, const call_answer& answer,
@@ -219,16 +208,10 @@
     if (answer.clock_ms) {
         // The clock was read before the answer arrived, so the target's clock is never assumed to
         // be later than it is, and no lease lasts longer than assumed.
-        if (!target_clock_) {
-            // An earlier holder may have set the longest lease until now, and a lease never
-            // shortens.
-            lease_end_ = *answer.clock_ms + bounds_.longest_lease.count();
-        }
-        target_clock_ = answer.clock_ms;
-        target_clock_at_ = now;
+        lease_.read_clock(*answer.clock_ms, now);
     }
     if (answer.fault == call_fault::unanswered) {
-        record_late_lease(call);
+        record_late_call(call);
     }
     const bool silent =
         answer.fault == call_fault::unanswered || answer.fault == call_fault::not_delivered;
@@ -318,7 +301,7 @@
     end_missing_runs(listing, sent, now);
     if (!std::exchange(claimed_, true)) {
         // Calls with an earlier token have no effect any more.
-        late_leases_.clear();
+        lease_.drop_late_calls();
         log_target("target_claimed");
     }
 }
@@ -402,10 +385,9 @@
     claimed_ = false;
     incarnation_ = 0;
     ends_seen_ = ends_acknowledged_ = 0;
-    target_clock_.reset();
-    lease_end_.reset();
+    lease_.forget_process();
     for (const auto& [number, call] : pending_calls_) {
-        record_late_lease(call);
+        record_late_call(call);
     }
     pending_calls_.clear();
     long_poll_.reset();
@@ -436,10 +418,8 @@
     if (fenced_ || restarted_ || replaced_) {
         return;
     }
-    std::erase_if(late_leases_, [&](core::time_ms sent) {
-        return now > sent + detail::longest_call_delay + lease_upper_bound(bounds_.longest_lease);
-    });
-    if (!reachable_ && now > latest_lease_end()) {
+    lease_.drop_expired_late_calls(now);
+    if (!reachable_ && now > lease_.ended_by()) {
         end_expired_runs(now);
     }
     for (auto& entry : runs_) {
@@ -490,24 +470,19 @@
 /// Extends the lease unless a stop is unanswered, and returns its end on the target's clock; empty
 /// while there is no lease or that clock is not known. All runs on a target share its lease.
 std::optional<std::int64_t> target_session::renew_lease(core::time_ms now) {
-    if (target_clock_ && !has_unanswered_stop()) {
-        const auto end = longest_lease_end(now);
-        if (!lease_end_ || end > *lease_end_) {
-            leases_expired_at_ = now + detail::time_until_expired(bounds_);
-            lease_end_ = end;
-        }
+    if (lease_.clock() && !has_unanswered_stop()) {
+        lease_.extend(longest_lease_end(now), now);
     }
-    return lease_end_;
+    return lease_.end();
 }
 
 /// Latest end of a lease, on the target's clock: the target allows no longer one, and no caller of
 /// a run on the target can be back by then.
 std::int64_t target_session::longest_lease_end(core::time_ms now) const {
-    auto end = *target_clock_ + (now - target_clock_at_ + bounds_.longest_lease).count();
+    auto end = lease_.longest_end(now);
     for (const auto& entry : runs_) {
         if (entry.key && entry.state != phase::stop_confirmed) {
-            end =
-                std::min(end, target_clock_by(latest_end(entry), *target_clock_, target_clock_at_));
+            end = std::min(end, lease_.clock_by(latest_end(entry)));
         }
     }
     return end;
@@ -542,35 +517,16 @@
 }
 
 /// Remembers a call without an answer that extends the lease.
-void target_session::record_late_lease(const pending_call& call) {
+void target_session::record_late_call(const pending_call& call) {
     if (detail::has_lease(call.request)) {
-        late_leases_.push_back(call.sent);
-        std::ranges::sort(late_leases_);
+        lease_.add_late_call(call.sent);
     }
 }
 
-/// Time by which the runs on a target that gets no calls any more have certainly ended. Each call
-/// without an answer can be executed just before the lease would end and extend it once.
-core::time_ms target_session::latest_lease_end() const {
-    const auto lease = lease_upper_bound(bounds_.longest_lease);
-    auto end = leases_expired_at_;
-    for (const auto sent : late_leases_) {
-        end = std::max(end, std::min(end, sent + detail::longest_call_delay) + lease);
-    }
-    return end;
-}
-
-/// Time by which a run that such a call starts late has certainly ended.
-core::time_ms target_session::latest_late_lease_end() const {
-    return late_leases_.empty() ? core::time_ms{}
-                                : late_leases_.back() + detail::longest_call_delay +
-                                      lease_upper_bound(bounds_.longest_lease);
-}
-
 /// Ends the runs that no lease keeps alive. A run whose start was never confirmed may still start.
 void target_session::end_expired_runs(core::time_ms now) {
     const auto may_start = [&](const run_entry& entry) {
-        return !entry.was_seen && now <= latest_late_lease_end();
+        return !entry.was_seen && now <= lease_.late_runs_ended_by();
     };
     const auto expired = std::stable_partition(runs_.begin(), runs_.end(), may_start);
     if (expired == runs_.end()) {
--- a/src/hawthornstall/runs/target_session.hpp
+++ b/src/hawthornstall/runs/target_session.hpp
@@ -6,6 +6,7 @@
 #include "hawthornstall/runs/front_end_liveness.hpp"
 #include "hawthornstall/runs/run_messages.hpp"
 #include "hawthornstall/runs/target_call.hpp"
+#include "hawthornstall/runs/target_lease.hpp"
 
 #include <cstdint>
 #include <map>
@@ -165,9 +166,7 @@
     void handle_replaced(core::time_ms now);
     void handle_fenced(core::time_ms now);
     void forget_process() noexcept;
-    void record_late_lease(const pending_call& call);
-    [[nodiscard]] core::time_ms latest_lease_end() const;
-    [[nodiscard]] core::time_ms latest_late_lease_end() const;
+    void record_late_call(const pending_call& call);
     [[nodiscard]] bool may_be_in_later_process(const run_entry& entry) const noexcept;
     void request_listing(core::duration_ms wait, core::time_ms now);
     void poll(core::time_ms now);
@@ -194,17 +193,12 @@
     std::uint64_t token_;
     run_bounds bounds_;
     const front_end_liveness* front_ends_;
+    target_lease lease_;
     std::vector<run_entry> runs_;
     std::map<std::uint64_t, pending_call> pending_calls_;
     std::uint64_t last_call_ = 0;
-    std::uint64_t ends_seen_ = 0;              ///< Highest number of an end that was listed.
-    std::uint64_t ends_acknowledged_ = 0;      ///< Highest number sent back to the target.
-    std::optional<std::int64_t> target_clock_; ///< The target's clock at `target_clock_at_`.
-    core::time_ms target_clock_at_{};
-    std::optional<std::int64_t> lease_end_; ///< Of this holder's lease, on the target's clock.
-    core::time_ms leases_expired_at_{}; ///< By then all leases have expired, but for late calls.
-    /// When calls with a lease were sent that got no answer and may still be executed, in order.
-    std::vector<core::time_ms> late_leases_;
+    std::uint64_t ends_seen_ = 0;            ///< Highest number of an end that was listed.
+    std::uint64_t ends_acknowledged_ = 0;    ///< Highest number sent back to the target.
     core::time_ms next_listing_at_{};        ///< Earliest time at which tick() sends a listing.
     std::optional<std::uint64_t> long_poll_; ///< Number of the renewing long poll in flight.
     std::optional<std::uint64_t> idle_poll_; ///< Number of the long poll of an idle target.
