--- a/src/hawthornstall/runs/target_session.cpp
+++ b/src/hawthornstall/runs/target_session.cpp
@@ -24,8 +24,8 @@
 /// repeated before the lease expires, and an end whose answer is lost is soon listed again.
 constexpr int long_polls_per_lease = 4;
 
-/// An idle target is polled for this long at a time. Its connection ends with its process, so that
-/// no run is started on a new process, which may be of another kind, in place of the known one.
+/// An idle target is polled for this long at a time. The connection ends with the target's process,
+/// so a restart is noticed before runs are started on the new one, which may be of another kind.
 constexpr core::duration_ms idle_poll_time{1'000};
 
 /// Delay between listings sent by tick(). After it, an idle target gets a last listing that
@@ -381,7 +381,7 @@
 }
 
 /// Discards what is known of the process that the session was with.
-void target_session::forget_process() noexcept {
+void target_session::forget_process() {
     claimed_ = false;
     incarnation_ = 0;
     ends_seen_ = ends_acknowledged_ = 0;
--- a/src/hawthornstall/runs/target_session.hpp
+++ b/src/hawthornstall/runs/target_session.hpp
@@ -165,7 +165,7 @@
     void handle_restart(core::time_ms now);
     void handle_replaced(core::time_ms now);
     void handle_fenced(core::time_ms now);
-    void forget_process() noexcept;
+    void forget_process();
     void record_late_call(const pending_call& call);
     [[nodiscard]] bool may_be_in_later_process(const run_entry& entry) const noexcept;
     void request_listing(core::duration_ms wait, core::time_ms now);
--- a/tests/hawthornstall/runs/restarted_target_test.cpp
+++ b/tests/hawthornstall/runs/restarted_target_test.cpp
@@ -1,4 +1,5 @@
 #include "hawthornstall/runs/fake_worker.hpp"
+#include "hawthornstall/runs/sample_target.hpp"
 #include "hawthornstall/runs/target_holder.hpp"
 
 #include <doctest/doctest.h>
@@ -15,33 +16,18 @@
 
 using core::duration_ms;
 
-constexpr core::time_ms start_time = core::from_count(1'000'000);
 constexpr core::time_ms wall_time = core::from_count(1'790'000'000'000);
-constexpr core::resources capacity{.cpu_millis = 64'000};
-constexpr core::resources task_size{.cpu_millis = 27'000};
 constexpr duration_ms never_done{600'000};
 constexpr std::uint64_t first_key = 1;
 constexpr std::uint64_t second_key = 2;
 
-discovery::target_record make_record(std::uint64_t incarnation) {
-    return {.id = "w-1",
-            .incarnation = incarnation,
-            .sequence = 1,
-            .service = "restock",
-            .address = "10.0.0.1:80",
-            .zone = "bilbao",
-            .labels = {},
-            .capacity = capacity};
-}
-
 /// A holder and a target on a virtual clock. Calls are answered after 1 ms; long polls also when
 /// their time is over or the target's process ends.
 class held_target_fixture {
 public:
     held_target_fixture() {
         directory_.announce(make_record(1), start_time);
-        holder.front_end_alive("f", {.at = start_time + duration_ms{100'000},
-                                     .peer_time = start_time + duration_ms{100'000}});
+        holder.front_end_alive(front_end, alive_at(far_future));
         run_for(duration_ms{2'000});
     }
 
@@ -58,15 +44,7 @@
     }
 
     void start(std::uint64_t key) {
-        holder.start("f",
-                     {.scheduler = "s",
-                      .key = key,
-                      .target = "w-1",
-                      .run = {.task = {"job", 0, static_cast<std::uint32_t>(key)}, .number = 1},
-                      .specification = "spec",
-                      .resources = task_size,
-                      .caller_leaves_at = start_time + duration_ms{100'000}},
-                     now);
+        holder.start(front_end, make_start_run(key, static_cast<std::uint32_t>(key)), now);
         take_effects();
     }
 
@@ -99,7 +77,7 @@
     }
 
     core::time_ms now = start_time;
-    fake_worker worker{capacity, never_done};
+    fake_worker worker{two_tasks, never_done};
     target_holder holder{{}, 1, start_time};
     std::vector<target_call> starts; ///< All start calls.
     std::vector<run_ended> reports;
