--- a/tests/tools/standin_target_test.cpp
+++ b/tests/tools/standin_target_test.cpp
@@ -113,6 +113,7 @@
             const auto target = request.path == "/v1/targets/leave"
                                     ? http::decode_target_leave(request.body)
                                     : http::decode_target_announcement(request.body);
+            INFO(request.method << ' ' << request.path << ' ' << request.body);
             REQUIRE(target.ok());
             received.push_back(*target);
             server->answer(request.number, {.body = "{}"});
