Answer the client's pings in the test of the stand-in target

"announcements go to the next entry host when one fails" fails when the machine is slow: the client checks a connection that was idle for 1 s with GET /v1/ping, and the test's server took the ping for an announcement. Every other request is checked as before.

--- a/tests/tools/standin_target_test.cpp
+++ b/tests/tools/standin_target_test.cpp
@@ -110,6 +110,11 @@
     std::unique_ptr<net::http_server> server;
     server = std::make_unique<net::http_server>(
         loop, "127.0.0.1:0", net::http_server_limits{}, [&](const net::http_request& request) {
+            if (request.path == "/v1/ping") {
+                // The client checks connections that were idle for 1 s.
+                server->answer(request.number, {.body = "{}"});
+                return;
+            }
             const auto target = request.path == "/v1/targets/leave"
                                     ? http::decode_target_leave(request.body)
                                     : http::decode_target_announcement(request.body);
