--- a/src/hawthornstall/runs/target_session.cpp
+++ b/src/hawthornstall/runs/target_session.cpp
@@ -26,10 +26,10 @@
 
 /// An idle target is polled for this long at a time. The connection ends with the target's process,
 /// so a restart is noticed before runs are started on the new one, which may be of another kind.
+/// The poll acknowledges the ends that were listed before it.
 constexpr core::duration_ms idle_poll_time{1'000};
 
-/// Delay between listings sent by tick(). After it, an idle target gets a last listing that
-/// acknowledges its ends.
+/// Delay between listings sent by tick().
 constexpr core::duration_ms listing_interval{200};
 
 /// Whether `request` extends the lease of the target's runs.
@@ -276,7 +276,7 @@
         return;
     }
     apply_listing(answer.listing, call.sent, now);
-    if (claimed_) {
+    if (!runs_.empty()) {
         poll(now);
     }
 }
@@ -429,14 +429,12 @@
             send_stop(entry, now);
         }
     }
-    if (now < next_listing_at_) {
+    if (now < next_listing_at_ || long_poll_ || idle_poll_) {
         return;
     }
-    if (long_poll_) {
-        return;
-    }
-    const bool must_acknowledge = ends_acknowledged_ < ends_seen_;
-    if (!claimed_ || !reachable_ || !runs_.empty() || must_acknowledge) {
+    if (claimed_ && reachable_ && runs_.empty()) {
+        poll(now);
+    } else {
         request_listing(core::duration_ms{0}, now);
     }
 }
