--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -1,9 +1,4 @@
 # Finds the libraries, which come from distribution packages; scripts/packages installs them.
-find_program(HAWTHORNSTALL_CCACHE ccache)
-if(HAWTHORNSTALL_CCACHE)
-    set(CMAKE_CXX_COMPILER_LAUNCHER ${HAWTHORNSTALL_CCACHE})
-endif()
-
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(libevent REQUIRED IMPORTED_TARGET libevent libevent_pthreads)
