Log where runs are placed and how late the event loop is

The scheduler writes a placement line every 2 s (time until the grant, targets examined for each grant, time in messages, run time against the declared one, targets and runs by class of slowness). Entry hosts write the delay of their event loop every 10 s and count it in the histogram tick_delayed.

--- a/src/hawthornstall/runs/capacity_pool.cpp
+++ b/src/hawthornstall/runs/capacity_pool.cpp
@@ -139,13 +139,13 @@
            std::ranges::find(request.excluded, target.id) == request.excluded.end();
 }
 
-std::optional<placement> capacity_pool::pick(const placement_request& request,
-                                             core::time_ms now) const {
+std::optional<placement> capacity_pool::pick(const placement_request& request, core::time_ms now) {
     using rank = std::tuple<bool, bool, int, std::int64_t, int, std::int64_t>;
     const auto cpu_millis = request.step->resources.cpu_millis;
     const pooled_target* best = nullptr;
     rank best_rank;
     visit_free(cpu_millis, [&](const pooled_target& item) {
+        ++targets_examined_;
         if (now < item.ejected_until || !is_eligible(item, request)) {
             return true;
         }
@@ -246,6 +246,16 @@
            " ejected";
 }
 
+speed_usage capacity_pool::usage() const {
+    speed_usage usage;
+    for (const auto& [id, item] : targets_) {
+        auto& used = usage[item.slowness_class];
+        used.targets += item.target.usable ? 1 : 0;
+        used.runs += item.running;
+    }
+    return usage;
+}
+
 bool capacity_pool::has_all_reports(core::time_ms now) const {
     return first_report_ && now - *first_report_ > detail::report_grace;
 }
--- a/src/hawthornstall/runs/capacity_pool.hpp
+++ b/src/hawthornstall/runs/capacity_pool.hpp
@@ -3,6 +3,7 @@
 /// Capacity and health of the targets of all lease holders, as one scheduler sees them.
 
 #include "hawthornstall/runs/job.hpp"
+#include "hawthornstall/runs/placement_statistics.hpp"
 #include "hawthornstall/runs/run_messages.hpp"
 #include "hawthornstall/scheduling/target_health.hpp"
 
@@ -56,7 +57,10 @@
     /// its specification is sent fewer times. Last comes the one with the least processor capacity
     /// left over (best fit).
     [[nodiscard]] std::optional<placement> pick(const placement_request& request,
-                                                core::time_ms now) const;
+                                                core::time_ms now);
+
+    /// How many targets pick() has looked at since the pool was created.
+    [[nodiscard]] std::uint64_t targets_examined() const noexcept { return targets_examined_; }
 
     /// Whether any target of the service has `resources` free at `now`.
     [[nodiscard]] bool has_free_target(std::string_view service, const core::resources& resources,
@@ -79,6 +83,9 @@
     /// Counts for logs: targets known, usable, with `resources` free, at their limit, and ejected.
     [[nodiscard]] std::string describe(const core::resources& resources) const;
 
+    /// Usable targets and reserved runs by class of slowness.
+    [[nodiscard]] speed_usage usage() const;
+
     /// Whether all lease holders have had time (1 s) to report since the first report arrived.
     [[nodiscard]] bool has_all_reports(core::time_ms now) const;
 
@@ -125,6 +132,7 @@
     free_index by_free_cpu_; ///< Refers to the keys of `targets_`.
     std::map<std::string, std::int64_t, std::less<>> usable_cpu_; ///< By service.
     std::optional<core::time_ms> first_report_;
+    std::uint64_t targets_examined_ = 0;
 };
 
 } // namespace hawthornstall::runs
--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -34,7 +34,8 @@
 dispatch_host<Codec>::dispatch_host(dispatch_options options, observer report)
     : options_(std::move(options)), report_(std::move(report)),
       logic_(options_.host, options_.bounds, options_.self.incarnation, options_.host_bits,
-             core::ms_clock::now()) {}
+             core::ms_clock::now()),
+      tick_delay_(detail::tick_interval) {}
 
 template <dispatch_codec Codec> void dispatch_host<Codec>::attach(runtime::event_loop& loop) {
     loop_ = &loop;
@@ -169,6 +170,8 @@
 
 template <dispatch_codec Codec> void dispatch_host<Codec>::tick() {
     const auto time = now();
+    report_(
+        {.level = core::log_level::debug, .name = "tick_delayed", .age = tick_delay_.record(time)});
     retry_early_requests(time - early_requests::max_wait);
     logic_.tick(*links_, time, core::ms_clock::wall_now());
     if (time >= hello_due_) {
@@ -293,6 +296,7 @@
     auto rows = traffic_.rows(links_->counters());
     auto text = describe(rows);
     report_({.name = "traffic", .detail = std::move(text), .traffic = std::move(rows)});
+    report_({.name = "event_loop_delay", .detail = tick_delay_.take()});
 }
 
 template <dispatch_codec Codec> void dispatch_host<Codec>::finish_shutdown(core::time_ms time) {
--- a/src/hawthornstall/runs/dispatch_host.hpp
+++ b/src/hawthornstall/runs/dispatch_host.hpp
@@ -15,6 +15,7 @@
 #include "hawthornstall/runs/early_requests.hpp"
 #include "hawthornstall/runs/message_traffic.hpp"
 #include "hawthornstall/runs/state_rows.hpp"
+#include "hawthornstall/runs/tick_delay.hpp"
 #include "hawthornstall/runtime/event_loop.hpp"
 #include "hawthornstall/status/status_query.hpp"
 
@@ -121,6 +122,7 @@
     early_requests early_requests_;
     dispatch_logic logic_;
     message_traffic traffic_;
+    tick_delay tick_delay_;
     core::time_ms hello_due_{};
     core::time_ms traffic_due_{};
     std::function<void()> on_shutdown_end_; ///< Called at the end of a shutdown; empty before one.
--- a/src/hawthornstall/runs/job_record.hpp
+++ b/src/hawthornstall/runs/job_record.hpp
@@ -39,6 +39,7 @@
     std::uint64_t key = 0;           ///< Key of the current run.
     std::string target{};            ///< Target of the current or latest run.
     std::string holder{};            ///< Lease holder of that target.
+    core::time_ms granted_at{};      ///< When the current run was granted.
     core::time_ms overdue_at{};      ///< When the current run is stopped as overdue.
     core::time_ms not_before{}; ///< Earliest start; until then an earlier run may still execute.
 };
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -208,6 +208,9 @@
     runs_.erase(run);
     const auto& step = job.request.steps[task.step];
     pool_.release(task.target, step.resources);
+    if (message.end == run_end::done) {
+        statistics_.ended(now - task.granted_at, message.ran_for, step.estimated);
+    }
     pool_.record_run_end(task.target, message.end, message.ran_for, step.estimated, now);
     if (message.end != run_end::done && message.end != run_end::stopped) {
         effects_.events.push_back({"run_without_success", job.request.id,
@@ -341,6 +344,10 @@
         }
         place_jobs(service, queue.pending, now);
     }
+    if (statistics_.is_due(now)) {
+        effects_.events.push_back(
+            {"placement", {}, statistics_.take(pool_.usage(), pool_.targets_examined(), now), {}});
+    }
 }
 
 /// Ends a job that has waited too long, or updates its position when it has become late.
@@ -448,7 +455,9 @@
     task.key = ++last_key_;
     task.target = std::move(chosen->target);
     task.holder = std::move(chosen->holder);
+    task.granted_at = now;
     task.overdue_at = now + detail::overdue_time(task, step);
+    statistics_.granted(now - job.arrived);
     ++task.last_run;
     job.started = true;
     runs_[task.key] = {.job = job.request.id, .task = index};
--- a/src/hawthornstall/runs/job_scheduler.hpp
+++ b/src/hawthornstall/runs/job_scheduler.hpp
@@ -6,6 +6,7 @@
 #include "hawthornstall/runs/capacity_pool.hpp"
 #include "hawthornstall/runs/job_record.hpp"
 #include "hawthornstall/runs/pending_jobs.hpp"
+#include "hawthornstall/runs/placement_statistics.hpp"
 #include "hawthornstall/runs/run_messages.hpp"
 #include "hawthornstall/runs/work_rate.hpp"
 #include "hawthornstall/status/status_rows.hpp"
@@ -136,6 +137,7 @@
     std::uint64_t last_number_ = 0;
     bool is_scheduling_ = false;        ///< Whether this host is the scheduler in its own view.
     core::time_ms overdue_check_due_{}; ///< When overdue runs are looked for next.
+    placement_statistics statistics_;
     scheduler_effects effects_;
 };
 
