Place a task without looking at every free target

Callers saw: on a deployment of hundreds of targets jobs are late although most targets are free, the class with the shortest objective first, and the more so the fewer tasks run.

Cause: the scheduler, one host with 0.3 of a core for all zones, looked at every target with free resources for each grant, and each report of a lease holder went through all targets twice. Its processor time was used up, so messages to it waited. Class of fault: work of a single host that grows with the product of load and size.

Usable targets are now kept in the order in which a placement prefers them, and grouped by lease holder and by label. A placement takes the first eligible one, and looks at those of the front end and of the job's other holders for an equal one. The decisions are the same.

Evidence: the new test of examined targets fails on the code before, 500 of 500, 250 of 250 and 5,000 of 5,000 free targets examined where 64 are allowed.

--- a/src/hawthornstall/runs/capacity_pool.cpp
+++ b/src/hawthornstall/runs/capacity_pool.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <set>
 #include <tuple>
-#include <utility>
+#include <vector>
 
 namespace hawthornstall::runs {
 namespace detail {
@@ -38,6 +38,12 @@
     return has_run ? 1 : 2;
 }
 
+/// Further tasks of this size that a target can take after one more.
+std::int64_t slots_left(const pooled_target& item, std::int64_t cpu_millis) {
+    const auto size = std::max<std::int64_t>(cpu_millis, 1);
+    return (item.free().cpu_millis - cpu_millis) / size;
+}
+
 int slowness_class(double slowness) {
     return static_cast<int>(std::floor(std::log(slowness) / std::log(slowness_class_ratio) + 0.5));
 }
@@ -50,127 +56,178 @@
     std::set<std::string_view> named;
     for (const auto& target : report.targets) {
         named.insert(target.id);
-        auto& [id, known] = *targets_.try_emplace(target.id).first;
-        update(id, known, [&](pooled_target& item) {
-            if (item.target.incarnation != target.incarnation) {
-                item.health = {};
-                item.ejected_until = {};
-            }
-            item.target = target;
-            item.holder = holder;
-        });
+        auto& item = targets_.try_emplace(target.id).first->second;
+        if (item.holder != holder || item.target != target) {
+            replace_report(item, holder, target);
+        }
     }
-    for (auto& [id, item] : targets_) {
-        if (item.holder == holder && !named.contains(id)) {
-            item.target.usable = false;
+    for (const auto* const item : by_holder_.find(holder)) {
+        if (!named.contains(item->target.id)) {
+            set_unusable(targets_.find(item->target.id)->second);
         }
     }
-    sum_usable_cpu();
 }
 
-template <std::invocable<capacity_pool::pooled_target&> Change>
-void capacity_pool::update(std::string_view id, pooled_target& item, Change change) {
-    by_free_cpu_.erase({item.free().cpu_millis, id});
+/// Replaces what is known about a target by what its present holder reports.
+void capacity_pool::replace_report(pooled_target& item, const std::string& holder,
+                                   const held_target& target) {
+    leave_groups(item);
+    update(item, [&](pooled_target& changed) {
+        if (changed.target.incarnation != target.incarnation) {
+            changed.health = {};
+            changed.ejected_until = {};
+        }
+        changed.target = target;
+        changed.holder = holder;
+    });
+    join_groups(item);
+}
+
+void capacity_pool::set_unusable(pooled_target& item) {
+    update(item, [](pooled_target& changed) { changed.target.usable = false; });
+}
+
+template <std::invocable<pooled_target&> Change>
+void capacity_pool::update(pooled_target& item, Change change) {
+    order_.erase(item);
+    add_usable_cpu(item, -1);
     change(item);
-    by_free_cpu_.emplace(item.free().cpu_millis, id);
+    add_usable_cpu(item, 1);
+    order_.insert(item);
 }
 
-template <std::predicate<const capacity_pool::pooled_target&> Visit>
-void capacity_pool::visit_free(std::int64_t cpu_millis, Visit visit) const {
-    for (auto position = by_free_cpu_.lower_bound({cpu_millis, {}}); position != by_free_cpu_.end();
-         ++position) {
-        if (!visit(targets_.find(position->second)->second)) {
-            return;
-        }
+void capacity_pool::add_usable_cpu(const pooled_target& item, std::int64_t sign) {
+    if (item.target.usable) {
+        usable_cpu_[item.target.service] += sign * item.target.capacity.cpu_millis;
     }
 }
 
-void capacity_pool::sum_usable_cpu() {
-    usable_cpu_.clear();
-    for (const auto& [id, item] : targets_) {
-        if (item.target.usable) {
-            usable_cpu_[item.target.service] += item.target.capacity.cpu_millis;
-        }
+void capacity_pool::join_groups(const pooled_target& item) {
+    by_holder_.insert(item.holder, item);
+    for (const auto& label : item.target.labels) {
+        by_label_.insert(label, item);
+    }
+}
+
+void capacity_pool::leave_groups(const pooled_target& item) {
+    by_holder_.erase(item.holder, item);
+    for (const auto& label : item.target.labels) {
+        by_label_.erase(label, item);
     }
 }
 
 void capacity_pool::invalidate() {
     for (auto& [id, item] : targets_) {
-        item.target.usable = false;
+        set_unusable(item);
     }
     first_report_.reset();
-    sum_usable_cpu();
 }
 
 void capacity_pool::remove_holder(std::string_view holder) {
-    for (auto position = targets_.begin(); position != targets_.end();) {
-        const auto& [id, item] = *position;
-        if (item.holder == holder) {
-            by_free_cpu_.erase({item.free().cpu_millis, id});
-            position = targets_.erase(position);
-        } else {
-            ++position;
-        }
+    const auto held = by_holder_.find(holder);
+    const std::vector<const pooled_target*> items{held.begin(), held.end()};
+    for (const auto* const item : items) {
+        const auto position = targets_.find(item->target.id);
+        leave_groups(*item);
+        set_unusable(position->second);
+        targets_.erase(position);
     }
-    sum_usable_cpu();
-}
-
-bool capacity_pool::can_accept(const pooled_target& item, const core::resources& resources) {
-    return item.free().holds(resources) && item.target.usable &&
-           item.running < item.health.max_in_flight();
 }
 
 bool capacity_pool::has_free_target(std::string_view service, const core::resources& resources,
                                     core::time_ms now) const {
-    bool found = false;
-    visit_free(resources.cpu_millis, [&](const pooled_target& item) {
-        found = can_accept(item, resources) && now >= item.ejected_until &&
-                item.target.service == service;
-        return !found;
-    });
-    return found;
+    return order_.find(service, resources.cpu_millis, [&](const pooled_target& item) {
+        return item.can_accept(resources) && now >= item.ejected_until;
+    }) != nullptr;
 }
 
-bool capacity_pool::is_eligible(const pooled_target& item, const placement_request& request) {
-    // Most targets are full under load, so the free resources are checked first.
+bool capacity_pool::is_eligible(const pooled_target& item, const placement_request& request,
+                                core::time_ms now) {
+    ++targets_examined_;
     const auto& target = item.target;
-    return can_accept(item, request.step->resources) && target.service == request.service &&
+    return item.can_accept(request.step->resources) && now >= item.ejected_until &&
+           target.service == request.service &&
            detail::has_label(target, request.step->required_label) &&
            std::ranges::find(request.excluded, target.id) == request.excluded.end();
 }
 
 std::optional<placement> capacity_pool::pick(const placement_request& request, core::time_ms now) {
-    using rank = std::tuple<bool, bool, int, std::int64_t, int, std::int64_t>;
+    const auto accept = [&](const pooled_target& item) {
+        return item.target.id != request.avoid && is_eligible(item, request, now);
+    };
+    const auto* chosen = pick_in_rack(request, accept);
+    if (chosen == nullptr) {
+        chosen = order_.find(request.service, request.step->resources.cpu_millis, accept);
+        chosen = chosen == nullptr ? nullptr : prefer_known_holder(request, *chosen, accept);
+    }
+    if (chosen == nullptr) {
+        const auto avoided = targets_.find(request.avoid);
+        const bool is_last_choice =
+            avoided != targets_.end() && is_eligible(avoided->second, request, now);
+        chosen = is_last_choice ? &avoided->second : nullptr;
+    }
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    return placement{.target = chosen->target.id, .holder = chosen->holder};
+}
+
+/// The best target on the rack of the task's data; null if there is none or no such rack.
+template <std::predicate<const pooled_target&> Accept>
+const pooled_target* capacity_pool::pick_in_rack(const placement_request& request,
+                                                 Accept accept) const {
+    if (request.step->data_rack.empty()) {
+        return nullptr;
+    }
     const auto cpu_millis = request.step->resources.cpu_millis;
+    const auto rank = [&](const pooled_target& item) {
+        return std::tuple{item.slowness_class, detail::slots_left(item, cpu_millis),
+                          detail::holder_rank(item.holder, request), item.free().cpu_millis,
+                          std::string_view{item.target.id}};
+    };
     const pooled_target* best = nullptr;
-    rank best_rank;
-    visit_free(cpu_millis, [&](const pooled_target& item) {
-        ++targets_examined_;
-        if (now < item.ejected_until || !is_eligible(item, request)) {
-            return true;
+    for (const auto* const item : by_label_.find(request.step->data_rack)) {
+        if (accept(*item) && (best == nullptr || rank(*item) < rank(*best))) {
+            best = item;
         }
-        const auto free_after = item.free().cpu_millis - cpu_millis;
-        const rank candidate{item.target.id == request.avoid,
-                             !detail::has_label(item.target, request.step->data_rack),
-                             item.slowness_class,
-                             free_after / std::max<std::int64_t>(cpu_millis, 1),
-                             detail::holder_rank(item.holder, request),
-                             free_after};
-        if (best == nullptr || candidate < best_rank) {
-            best = &item;
-            best_rank = candidate;
+    }
+    return best;
+}
+
+/// A target that is as good as `first` but held by the front end or by a holder with runs of the
+/// job, or else `first`.
+template <std::predicate<const pooled_target&> Accept>
+const pooled_target* capacity_pool::prefer_known_holder(const placement_request& request,
+                                                        const pooled_target& first,
+                                                        Accept accept) const {
+    const auto cpu_millis = request.step->resources.cpu_millis;
+    const auto is_equivalent = [&](const pooled_target& item) {
+        return item.slowness_class == first.slowness_class &&
+               item.free().cpu_millis >= cpu_millis &&
+               detail::slots_left(item, cpu_millis) == detail::slots_left(first, cpu_millis);
+    };
+    const auto rank = [](const pooled_target& item) {
+        return std::tuple{item.free().cpu_millis, std::string_view{item.target.id}};
+    };
+    const pooled_target* best = nullptr;
+    const auto consider_targets_of = [&](std::string_view holder) {
+        for (const auto* const item : by_holder_.find(holder)) {
+            if (is_equivalent(*item) && accept(*item) &&
+                (best == nullptr || rank(*item) < rank(*best))) {
+                best = item;
+            }
         }
-        return true;
-    });
+    };
+    consider_targets_of(request.front_end);
     if (best == nullptr) {
-        return std::nullopt;
+        std::ranges::for_each(request.job_holders, consider_targets_of);
     }
-    return placement{.target = best->target.id, .holder = best->holder};
+    return best == nullptr ? &first : best;
 }
 
 void capacity_pool::reserve(std::string_view target, const core::resources& resources) {
     if (const auto found = targets_.find(target); found != targets_.end()) {
-        update(found->first, found->second, [&](pooled_target& item) {
+        update(found->second, [&](pooled_target& item) {
             item.reserved += resources;
             ++item.running;
         });
@@ -180,7 +237,7 @@
 void capacity_pool::release(std::string_view target, const core::resources& resources) {
     if (const auto found = targets_.find(target);
         found != targets_.end() && found->second.running > 0) {
-        update(found->first, found->second, [&](pooled_target& item) {
+        update(found->second, [&](pooled_target& item) {
             item.reserved -= resources;
             --item.running;
         });
@@ -210,11 +267,14 @@
                                             static_cast<double>(estimated.count()),
                                         detail::max_slowness_sample);
             item.slowness += detail::slowness_weight * (ratio - item.slowness);
-            item.slowness_class = detail::slowness_class(item.slowness);
+            if (const auto rounded = detail::slowness_class(item.slowness);
+                rounded != item.slowness_class) {
+                update(item, [&](pooled_target& changed) { changed.slowness_class = rounded; });
+            }
         }
     } else if (end == run_end::rejected) {
         // The target is not at fault. It is used again once its holder reports it as usable.
-        item.target.usable = false;
+        set_unusable(item);
     } else if (end != run_end::stopped) {
         item.ejected_until = item.health.on_failure({}, may_eject(), now);
     }
--- a/src/hawthornstall/runs/capacity_pool.hpp
+++ b/src/hawthornstall/runs/capacity_pool.hpp
@@ -4,18 +4,17 @@
 
 #include "hawthornstall/runs/job.hpp"
 #include "hawthornstall/runs/placement_statistics.hpp"
+#include "hawthornstall/runs/pooled_target.hpp"
 #include "hawthornstall/runs/run_messages.hpp"
-#include "hawthornstall/scheduling/target_health.hpp"
+#include "hawthornstall/runs/target_indexes.hpp"
 
 #include <concepts>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace hawthornstall::runs {
 
@@ -96,40 +95,30 @@
     [[nodiscard]] std::int64_t usable_cpu_millis(std::string_view service) const;
 
 private:
-    /// A target with the reservations and the health that this scheduler tracks for it.
-    struct pooled_target {
-        held_target target{};
-        std::string holder{};
-        core::resources reserved{}; ///< By runs of this scheduler.
-        scheduling::target_health health;
-        core::time_ms ejected_until{};
-        int slowness_class = 0;    ///< Rounded logarithm of `slowness`.
-        double slowness = 1.0;     ///< Moving average of actual over declared run time.
-        std::uint32_t running = 0; ///< Number of reserved runs.
-
-        [[nodiscard]] core::resources free() const {
-            return target.capacity - target.used_by_others - reserved;
-        }
-    };
-
-    /// Targets by free processor capacity, so that a search skips those that are too full.
-    using free_index = std::set<std::pair<std::int64_t, std::string_view>>;
-
-    [[nodiscard]] static bool can_accept(const pooled_target& item,
-                                         const core::resources& resources);
-    [[nodiscard]] static bool is_eligible(const pooled_target& item,
-                                          const placement_request& request);
+    [[nodiscard]] bool is_eligible(const pooled_target& item, const placement_request& request,
+                                   core::time_ms now);
+    template <std::predicate<const pooled_target&> Accept>
+    [[nodiscard]] const pooled_target* pick_in_rack(const placement_request& request,
+                                                    Accept accept) const;
+    template <std::predicate<const pooled_target&> Accept>
+    [[nodiscard]] const pooled_target* prefer_known_holder(const placement_request& request,
+                                                           const pooled_target& first,
+                                                           Accept accept) const;
     [[nodiscard]] bool may_eject() const;
-    void sum_usable_cpu();
-    /// Calls `change` with a target and updates its place in the index.
+    void add_usable_cpu(const pooled_target& item, std::int64_t sign);
+    void join_groups(const pooled_target& item);
+    void leave_groups(const pooled_target& item);
+    void replace_report(pooled_target& item, const std::string& holder, const held_target& target);
+    void set_unusable(pooled_target& item);
+    /// Calls `change` with a target and updates its places in the order and in the sum of usable
+    /// capacity.
     template <std::invocable<pooled_target&> Change>
-    void update(std::string_view id, pooled_target& item, Change change);
-    /// Calls `visit` with the targets that have at least `cpu_millis` free, until it returns false.
-    template <std::predicate<const pooled_target&> Visit>
-    void visit_free(std::int64_t cpu_millis, Visit visit) const;
+    void update(pooled_target& item, Change change);
 
     std::map<std::string, pooled_target, std::less<>> targets_;
-    free_index by_free_cpu_; ///< Refers to the keys of `targets_`.
+    free_target_order order_;
+    target_groups by_holder_;
+    target_groups by_label_;
     std::map<std::string, std::int64_t, std::less<>> usable_cpu_; ///< By service.
     std::optional<core::time_ms> first_report_;
     std::uint64_t targets_examined_ = 0;
--- a/tests/hawthornstall/runs/capacity_pool_test.cpp
+++ b/tests/hawthornstall/runs/capacity_pool_test.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -184,6 +185,113 @@
     }
 }
 
+struct fleet_case {
+    std::string_view name;
+    int holders = 0;
+    int targets_per_holder = 0;
+    int full_targets = 0;
+    std::string rack;
+};
+
+// Guards against a scheduler whose processor time for a grant grows with the number of free
+// targets: on a large deployment the messages to it wait longer than the tasks run.
+TEST_CASE("few targets are examined for a task, however many are free") {
+    constexpr std::uint64_t max_examined = 64;
+    const std::array cases{
+        fleet_case{"all free", 100, 5, 0, ""},
+        fleet_case{"half of them full", 100, 5, 250, ""},
+        fleet_case{"nearly all full", 100, 5, 490, ""},
+        fleet_case{"data on a rack", 100, 5, 0, "rack-3"},
+        fleet_case{"thousands free", 1'000, 5, 0, ""},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        capacity_pool pool;
+        constexpr int targets_per_rack = 12;
+        for (int holder = 0; holder < item.holders; ++holder) {
+            target_report report;
+            for (int index = 0; index < item.targets_per_holder; ++index) {
+                const auto number = holder * item.targets_per_holder + index;
+                report.targets.push_back(
+                    make_target("w-" + std::to_string(number), 64'000,
+                                {"rack-" + std::to_string(number / targets_per_rack)}));
+            }
+            pool.report("h-" + std::to_string(holder), report, start_time);
+        }
+        for (int number = 0; number < item.full_targets; ++number) {
+            pool.reserve("w-" + std::to_string(number), {.cpu_millis = 64'000});
+        }
+        job_step step;
+        step.resources = {.cpu_millis = 32'000};
+        step.data_rack = item.rack;
+        const std::array<std::string_view, 3> job_holders{"h-7", "h-97", "h-98"};
+        const auto before = pool.targets_examined();
+        const auto chosen = pool.pick(
+            {.service = "restock", .step = &step, .front_end = "h-99", .job_holders = job_holders},
+            start_time);
+        REQUIRE(chosen.has_value());
+        CHECK(pool.targets_examined() - before <= max_examined);
+    }
+}
+
+/// Number before `what` in a description of a pool.
+int count_of(const std::string& description, std::string_view what) {
+    const auto end = description.find(std::string{" "} + std::string{what});
+    const auto begin = description.rfind(", ", end);
+    return std::stoi(description.substr(begin + 2, end - begin - 2));
+}
+
+// Guards against targets that an index has lost or kept after a change: tasks would wait beside
+// free targets, or be placed on targets that are gone.
+TEST_CASE("the indexes of a pool agree with its targets after any change") {
+    constexpr std::array seeds{1U, 2U, 3U, 4U, 5U};
+    constexpr core::resources half{.cpu_millis = 32'000};
+    job_step step;
+    step.resources = half;
+    for (const auto seed : seeds) {
+        CAPTURE(seed);
+        std::mt19937 random{seed};
+        const auto below = [&](unsigned limit) {
+            return random() % limit;
+        };
+        capacity_pool pool;
+        for (int change = 0; change < 2'000; ++change) {
+            const auto id = "w-" + std::to_string(below(12));
+            const auto holder = "h-" + std::to_string(below(3));
+            switch (below(6)) {
+            case 0:
+                pool.report(holder, {.targets = {make_target(id, 64'000, {"r-" + id})}},
+                            start_time);
+                break;
+            case 1:
+                pool.reserve(id, half);
+                break;
+            case 2:
+                pool.release(id, half);
+                break;
+            case 3:
+                pool.record_run_end(id, run_end::done, core::duration_ms{50 + below(200)},
+                                    core::duration_ms{100}, start_time);
+                break;
+            case 4:
+                pool.record_run_end(id, run_end::rejected, {}, {}, start_time);
+                break;
+            default:
+                if (below(10) == 0) {
+                    pool.remove_holder(holder);
+                }
+            }
+            const auto description = pool.describe(half);
+            const bool has_room = count_of(description, "with room") > 0;
+            const auto usable = count_of(description, "usable");
+            REQUIRE(pool.has_free_target("restock", half, start_time) == has_room);
+            REQUIRE(pool.pick({.service = "restock", .step = &step}, start_time).has_value() ==
+                    has_room);
+            REQUIRE(pool.usable_cpu_millis("restock") == 64'000 * usable);
+        }
+    }
+}
+
 struct occupancy_case {
     std::string_view name;
     std::function<void(capacity_pool&)> change;
