Announce a host only to the peer whose link has come up

Callers saw: after a loss of all hosts, or when a zone returns, almost nothing is served for seconds on a deployment with 97 entry hosts.

Cause: for each link that comes up a host announced itself to all others, so the number of messages grew with the cube of the number of hosts: 4,560 for each host at the start of the large site (host_presence in its traffic record), which hosts with 0.09 of a core read for seconds. Class of fault: a broadcast for an event that concerns one receiver.

Test: "a link that comes up announces this host to that peer alone" failed in two of its three rows before (all three peers told).

--- a/src/hawthornstall/runs/dispatch_logic.cpp
+++ b/src/hawthornstall/runs/dispatch_logic.cpp
@@ -122,7 +122,9 @@
     }
     if (change != net::link_change::unreachable) {
         scheduler_.host_reachable(peer);
-        send_presence(now);
+        // The other hosts know this one already.
+        hosts_.self().held_targets = holder_.held();
+        effects_.messages[std::string{peer}].push_back(hosts_.self());
     }
 }
 
