--- a/src/hawthornstall/runs/dispatch_logic.cpp
+++ b/src/hawthornstall/runs/dispatch_logic.cpp
@@ -123,8 +123,7 @@
     if (change != net::link_change::unreachable) {
         scheduler_.host_reachable(peer);
         // The other hosts know this one already.
-        hosts_.self().held_targets = holder_.held();
-        effects_.messages[std::string{peer}].push_back(hosts_.self());
+        effects_.messages[std::string{peer}].push_back(current_presence());
     }
 }
 
@@ -172,11 +171,16 @@
     }
 }
 
+const host_presence& dispatch_logic::current_presence() {
+    hosts_.self().held_targets = holder_.held();
+    return hosts_.self();
+}
+
 void dispatch_logic::send_presence(core::time_ms now) {
     presence_due_ = now + detail::presence_interval;
-    hosts_.self().held_targets = holder_.held();
+    const auto& presence = current_presence();
     for (const auto& name : reachable_) {
-        effects_.messages[name].push_back(hosts_.self());
+        effects_.messages[name].push_back(presence);
     }
 }
 
--- a/src/hawthornstall/runs/dispatch_logic.hpp
+++ b/src/hawthornstall/runs/dispatch_logic.hpp
@@ -115,6 +115,8 @@
     void on_tick(core::time_ms now, core::time_ms wall);
     void end_joint_work(std::string_view peer, core::time_ms now);
     void update_scheduler(core::time_ms now);
+    /// The presence message of this host, with the targets that it holds now.
+    [[nodiscard]] const host_presence& current_presence();
     void send_presence(core::time_ms now);
     void take_scheduler_effects();
     void take_holder_effects(core::time_ms now);
