--- a/src/hawthornstall/runs/job_scheduler_placement.cpp
+++ b/src/hawthornstall/runs/job_scheduler_placement.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-/// Rounds of placement: which tasks start, and which runs take too long.
+// Rounds of placement: which tasks start, and which runs take too long.
 namespace hawthornstall::runs {
 namespace detail {
 
--- a/src/hawthornstall/runs/target_session_answers.cpp
+++ b/src/hawthornstall/runs/target_session_answers.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <utility>
 
-/// What a session learns from the answers of its target.
+// What a session learns from the answers of its target.
 namespace hawthornstall::runs {
 namespace detail {
 
