Review: show two runs of a task after late renewals and the loss of its scheduler

Cause: the scheduler that gets a job again knows nothing of its earlier runs, and a dead holder's target that no new one has claimed may still work on one of them.

--- a/review/harness-2/deployment.hpp
+++ b/review/harness-2/deployment.hpp
@@ -53,8 +53,12 @@
     deployment(deployment&&) = delete;
     deployment& operator=(deployment&&) = delete;
 
-    /// Adds `count` stand-in minions, spread over the zones.
+    /// Adds `count` stand-in minions, spread over the zones. Each has the labels and its zone as
+    /// one.
     void add_minions(int count, const std::vector<std::string>& labels);
+
+    /// Name of the zone of the machine or minion with that number.
+    [[nodiscard]] static std::string zone_of(int number);
     [[nodiscard]] std::vector<std::unique_ptr<minion>>& minions() noexcept { return minions_; }
 
     /// Sends a configuration to one control machine after the other until one acknowledges it.
@@ -64,7 +68,11 @@
     /// Waits until all front ends are ready and a job on `path_prefix` has been served by each.
     void wait_until_served(const std::string& path_prefix);
 
+    /// The front end that schedules all jobs, from the logs of the programs; 0 if it is not known.
+    [[nodiscard]] int scheduler() const;
+
     void signal_front_end(int number, int signal);
+    void kill_front_end(int number);
     void kill_control(int number);
     /// Starts a control machine again, with an empty disk.
     void start_control_with_empty_disk(int number);
@@ -83,6 +91,7 @@
     };
 
     void start(const std::string& name);
+    void kill_process(const std::string& name);
     void write_control_settings(int number, bool bootstrap) const;
     void write_front_end_settings(int number) const;
     [[nodiscard]] std::string ip(int kind, int number) const;
--- a/review/harness-2/http.cpp
+++ b/review/harness-2/http.cpp
@@ -69,6 +69,13 @@
     return count > 0;
 }
 
+/// Discards what arrives until the peer closes the connection.
+void wait_for_end(int descriptor, std::string& unread) {
+    while (receive_more(descriptor, unread)) {
+        unread.clear();
+    }
+}
+
 std::string lower_case(std::string text) {
     std::ranges::transform(text, text.begin(),
                            [](unsigned char letter) { return std::tolower(letter); });
@@ -232,6 +239,10 @@
     std::string unread;
     while (const auto request = receive_message(descriptor, unread)) {
         const auto answer = handle_(*request);
+        if (answer.status == 0) {
+            wait_for_end(descriptor, unread);
+            break;
+        }
         const auto text = "HTTP/1.1 " + std::to_string(answer.status) +
                           " Answer\r\nContent-Type: application/json\r\nContent-Length: " +
                           std::to_string(answer.body.size()) + "\r\n\r\n" + answer.body;
--- a/review/harness-2/http.hpp
+++ b/review/harness-2/http.hpp
@@ -69,6 +69,7 @@
 /// Serves each connection on a thread of its own.
 class http_server {
 public:
+    /// An answer with status 0 is not sent, and the connection stays open without one.
     using handler = std::function<http_message(const http_message&)>;
 
     /// Listens on "IP:PORT". Throws std::runtime_error when it cannot.
--- a/review/harness-2/minion.cpp
+++ b/review/harness-2/minion.cpp
@@ -54,6 +54,7 @@
     {
         const std::lock_guard lock{mutex_};
         for (const auto& [run, task] : life_.running) {
+            log_->task_ended(run.first, settings_.id);
             log_->write("minion " + settings_.id + " crashes, which ends " + run.first + " run " +
                         std::to_string(run.second));
         }
@@ -70,6 +71,56 @@
     changed_.notify_all();
 }
 
+void minion::disturb(disturbance plan) {
+    const std::lock_guard lock{mutex_};
+    disturbance_ = std::move(plan);
+    disturbed_since_ = 0;
+}
+
+bool minion::keep_disturbance_if_begun() {
+    const std::lock_guard lock{mutex_};
+    if (disturbed_since_ == 0) {
+        disturbance_ = {};
+    }
+    return disturbed_since_ != 0;
+}
+
+/// Whether a call of /api/hold is left unanswered now, to be carried out late.
+bool minion::delay_call(const json& call) {
+    auto& times = disturbance_.late_calls_at;
+    const auto token = call.value("fencing_token", std::uint64_t{0});
+    const auto since = steady_ms() - disturbed_since_;
+    const bool is_renewal =
+        call.contains("deadline_ms") && !times.empty() && since >= times.front();
+    const bool is_claim = token > life_.token && disturbance_.late_claims > 0;
+    if (disturbed_since_ == 0 || (!is_renewal && !is_claim)) {
+        return false;
+    }
+    if (is_claim) {
+        --disturbance_.late_claims;
+    } else {
+        times.erase(times.begin());
+    }
+    late_calls_.push_back({.due = steady_ms() + disturbance_.late_by,
+                           .lease = call.value("deadline_ms", std::int64_t{0}) - clock(),
+                           .token = token});
+    log_->write("minion " + settings_.id + " leaves a " + (is_claim ? "claim" : "renewal") +
+                " without an answer");
+    return true;
+}
+
+void minion::execute_late_calls() {
+    for (const auto& call : std::exchange(late_calls_, {})) {
+        if (steady_ms() < call.due) {
+            late_calls_.push_back(call);
+        } else if (call.token >= life_.token) {
+            life_.token = call.token;
+            extend_lease({{"deadline_ms", clock() + call.lease}});
+            log_->write("minion " + settings_.id + " carries out a late call");
+        }
+    }
+}
+
 std::int64_t minion::clock() const {
     return steady_ms() - life_.clock_start;
 }
@@ -97,6 +148,7 @@
 }
 
 http_message minion::serve(const http_message& request) {
+    ++calls_;
     std::unique_lock lock{mutex_};
     const auto call = json::parse(request.body, nullptr, false);
     const auto expected = request.headers.find("x-expect-instance");
@@ -113,6 +165,9 @@
         return stop(call);
     }
     if (request.path == "/api/hold") {
+        if (delay_call(call)) {
+            return {};
+        }
         return list(call, lock);
     }
     return {.status = status_not_found, .body = "{}"};
@@ -137,9 +192,14 @@
     const auto specification = call.value("specification", "");
     const auto duration = std::strtoll(specification.c_str(), nullptr, 10);
     life_.running[run] = {.started = clock(), .until = clock() + duration};
+    if (!disturbance_.job.empty() && run.first.starts_with(disturbance_.job)) {
+        disturbed_since_ = steady_ms();
+        disturbance_.job.clear();
+    }
     log_->write("minion " + settings_.id + " with labels " + json(settings_.labels).dump() +
                 " starts " + run.first + " run " + std::to_string(run.second));
-    log_->task_started({.task = run.first, .minion = settings_.id, .labels = settings_.labels});
+    log_->task_started(
+        {.task = run.first, .minion = settings_.id, .labels = settings_.labels, .after = clock()});
     return accept(json::object());
 }
 
@@ -185,6 +245,7 @@
     highest = std::max(highest, run.second);
     life_.running.erase(run);
     life_.ended.push_back({.number = ++life_.last_end, .run = run, .how = how});
+    log_->task_ended(run.first, settings_.id);
     log_->write("minion " + settings_.id + " ends " + run.first + " run " +
                 std::to_string(run.second) + ' ' + how);
     changed_.notify_all();
@@ -193,6 +254,7 @@
 void minion::advance() {
     std::unique_lock lock{mutex_};
     while (!stopping_) {
+        execute_late_calls();
         const auto running = life_.running;
         for (const auto& [run, task] : running) {
             if (task.until <= std::min(clock(), life_.lease_end)) {
--- a/review/harness-2/minion.hpp
+++ b/review/harness-2/minion.hpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -27,6 +28,16 @@
     std::vector<std::string> control{}; ///< Addresses of the control machines.
 };
 
+/// What happens to a minion once it has started a task of `job`; times in ms after that start.
+struct disturbance {
+    std::string job{};
+    std::vector<int>
+        late_calls_at{}; ///< The next call of /api/hold from then on is carried out late.
+    int late_by = 0;
+    int late_claims =
+        0; ///< That many calls with a higher fencing token are carried out late as well.
+};
+
 /// Runs tasks whose specification begins with their run time in ms. All that it starts and ends is
 /// written to the record.
 class minion {
@@ -42,6 +53,15 @@
     /// nothing of before is known.
     void restart(std::vector<std::string> labels);
 
+    /// Lets a disturbance happen when a task of its job starts here.
+    void disturb(disturbance plan);
+
+    /// Takes the plan back if it has not begun. Returns whether it has.
+    bool keep_disturbance_if_begun();
+
+    /// Number of calls that have arrived.
+    [[nodiscard]] std::uint64_t calls() const noexcept { return calls_; }
+
 private:
     using run_id = std::pair<std::string, std::uint64_t>;
 
@@ -56,6 +76,13 @@
         std::string how{};
     };
 
+    /// A call that is carried out late. Its lease counts from then.
+    struct late_call {
+        std::int64_t due = 0; ///< Steady time in ms.
+        std::int64_t lease = 0;
+        std::uint64_t token = 0;
+    };
+
     /// What ends with a life of the minion.
     struct life {
         std::uint64_t born = 0;       ///< Unix time in ms.
@@ -77,6 +104,8 @@
     [[nodiscard]] http_message accept(nlohmann::json body) const;
     [[nodiscard]] bool is_fenced(const nlohmann::json& call);
     void extend_lease(const nlohmann::json& call);
+    [[nodiscard]] bool delay_call(const nlohmann::json& call);
+    void execute_late_calls();
     [[nodiscard]] std::int64_t clock() const;
     void end(const run_id& run, const char* how);
     void advance();
@@ -88,6 +117,10 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     life life_;
+    disturbance disturbance_;
+    std::int64_t disturbed_since_ = 0; ///< Steady time in ms; 0 before the disturbance.
+    std::vector<late_call> late_calls_;
+    std::atomic<std::uint64_t> calls_{0};
     bool stopping_ = false;
     bool heartbeat_due_ = true;
     std::unique_ptr<http_server> server_;
--- a/review/harness-2/record.cpp
+++ b/review/harness-2/record.cpp
@@ -37,6 +37,15 @@
     starts_.push_back(std::move(start));
 }
 
+void record::task_ended(const std::string& task, const std::string& minion) {
+    const std::lock_guard lock{mutex_};
+    for (auto& start : starts_) {
+        if (start.task == task && start.minion == minion && start.ended == 0) {
+            start.ended = steady_ms();
+        }
+    }
+}
+
 std::vector<task_start> record::starts() {
     const std::lock_guard lock{mutex_};
     return starts_;
--- a/review/harness-2/record.hpp
+++ b/review/harness-2/record.hpp
@@ -21,7 +21,9 @@
     std::string task{};
     std::string minion{};
     std::vector<std::string> labels{};
-    std::int64_t at = 0; ///< Steady time in ms.
+    std::int64_t at = 0;    ///< Steady time in ms.
+    std::int64_t after = 0; ///< Time in ms since the minion started (again).
+    std::int64_t ended = 0; ///< Steady time in ms; 0 while it runs.
 };
 
 /// Writes lines with the time since the start of the script, and keeps the starts of tasks. Safe to
@@ -32,6 +34,7 @@
 
     void write(const std::string& line);
     void task_started(task_start start);
+    void task_ended(const std::string& task, const std::string& minion);
     [[nodiscard]] std::vector<task_start> starts();
 
     /// Whether a task of `job` has been started.
