Review: show that changes of a large configuration alone stop the configuration

Cause: the log is compacted after 1,000 entries, whatever their size, and fills the disk long before. The case of a member with an empty disk, which has the same root at another place, becomes case 7.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# A client cancels a job, and its tasks go on starting.
+# A control machine comes back with an empty disk after 240 changes of a large configuration.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out
 # the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review-2/cancelled_job
+program=target/review-2/large_configuration
 if [ ! -x "$program" ]; then
     echo "build the programs first: the line 'build' of deploy/system.toml, then review/build-2.sh" >&2
     exit 2
