--- a/review/harness-2/minion.cpp
+++ b/review/harness-2/minion.cpp
@@ -289,7 +289,10 @@
     std::unique_lock lock{mutex_};
     std::size_t control = 0;
     while (!stopping_) {
-        heartbeat_due_ = false;
+        if (std::exchange(heartbeat_due_, false)) {
+            // A new life picks another control machine.
+            control = (control + 1) % settings_.control.size();
+        }
         const auto body = next_heartbeat();
         lock.unlock();
         for (std::size_t tried = 0; tried < settings_.control.size(); ++tried) {
--- a/review/harness-2/scripts/other_kind.cpp
+++ b/review/harness-2/scripts/other_kind.cpp
@@ -11,12 +11,17 @@
 using namespace review;
 
 constexpr int front_ends = 4;
-constexpr int minion_count = 6;
-constexpr int callers = 12;
-constexpr int run_ms = 60;
+constexpr int minion_count = 8;
+constexpr int restarted_count = 4; ///< Minions that restart, one at a time.
+constexpr int callers = 6;
+constexpr int run_ms = 20;
 constexpr int deadline_ms = 1'500;
-constexpr int rounds = 30;
-constexpr int between_restarts_ms = 1'500;
+constexpr int rounds = 120;
+
+/// A start that arrives sooner after a restart may have been sent before it. It is not counted.
+constexpr int in_flight_ms = 20;
+
+constexpr int between_restarts_ms = 700;
 
 verdict script(const arguments& given, record& log) {
     deployment system{given.programs, front_ends, log};
@@ -42,7 +47,7 @@
     for (int round = 0; round < rounds; ++round) {
         sleep_ms(between_restarts_ms);
         if (given.trouble) {
-            const auto index = static_cast<std::size_t>(round / 2 % minion_count);
+            const auto index = static_cast<std::size_t>(round / 2 % restarted_count);
             system.minions()[index]->restart({round % 2 == 0 ? "b" : "a", "r1"});
         }
     }
@@ -52,9 +57,11 @@
     }
     verdict violation;
     for (const auto& start : log.starts()) {
-        if (std::ranges::find(start.labels, "a") == start.labels.end()) {
+        const bool has_label = std::ranges::find(start.labels, "a") != start.labels.end();
+        if (!has_label && start.after > in_flight_ms) {
             violation = "ROUTE: task " + start.task + " requires label a and was started on " +
-                        start.minion + ", which does not have it";
+                        start.minion + " without it, " + std::to_string(start.after) +
+                        " ms after the restart of that minion";
         }
     }
     return violation;
