--- a/tests/hawthornstall/control/cluster_simulation.hpp
+++ b/tests/hawthornstall/control/cluster_simulation.hpp
@@ -104,7 +104,7 @@
     using replica_type = config_replica<memory_storage, Store>;
 
     struct control_host {
-        std::shared_ptr<simulated_disk> disk;
+        std::shared_ptr<memory_disk> disk;
         std::optional<replica_type> replica;
         core::time_ms down_until{};
         core::time_ms partitioned_until{};
@@ -135,8 +135,8 @@
         return std::uniform_int_distribution<std::size_t>{0, count - 1}(random_);
     }
 
-    std::shared_ptr<simulated_disk> make_disk(std::size_t index) {
-        auto disk = std::make_shared<simulated_disk>();
+    std::shared_ptr<memory_disk> make_disk(std::size_t index) {
+        auto disk = std::make_shared<memory_disk>();
         const auto identity = options_.keeps_identity ? index + 1 : ++last_identity_;
         disk->state.self = {.host = settings_.hosts[index], .storage_id = identity};
         disk->faults = options_.storage;
--- a/tests/hawthornstall/control/control_service_test.cpp
+++ b/tests/hawthornstall/control/control_service_test.cpp
@@ -21,7 +21,7 @@
         consensus_settings settings;
         settings.hosts = {"control-0", "control-1", "control-2"};
         for (const auto& host : settings.hosts) {
-            auto disk = std::make_shared<simulated_disk>();
+            auto disk = std::make_shared<memory_disk>();
             disk->state.self = {.host = host, .storage_id = services.size() + 1};
             auto replica = config_replica<memory_storage>::open(memory_storage{disk}, settings,
                                                                 services.size() + 1, now);
--- a/tests/hawthornstall/control/memory_storage.hpp
+++ b/tests/hawthornstall/control/memory_storage.hpp
@@ -16,7 +16,7 @@
 };
 
 /// State that survives a simulated crash.
-struct simulated_disk {
+struct memory_disk {
     hard_state state;
     memory_log log;
     log_snapshot snapshot;
@@ -26,7 +26,7 @@
 /// Storage on a simulated disk. A new storage on the same disk has the state after a crash.
 class memory_storage {
 public:
-    explicit memory_storage(std::shared_ptr<simulated_disk> disk)
+    explicit memory_storage(std::shared_ptr<memory_disk> disk)
         : disk_(std::move(disk)), state_(disk_->state), log_(disk_->log) {}
 
     [[nodiscard]] const hard_state& state() const { return state_; }
@@ -64,7 +64,7 @@
     }
 
 private:
-    std::shared_ptr<simulated_disk> disk_;
+    std::shared_ptr<memory_disk> disk_;
     hard_state state_;
     memory_log log_;
 };
