Limit append requests in bytes and send them again only when they are lost

Cause: an append request was limited to 256 entries whatever their size. For a member without entries it held the whole log. With 240 entries of 300 KB it is larger than the largest frame (64 MiB), is refused, and was built again every 500 ms for ever; with fewer it takes several times its size of the leader's memory. A request that took longer than 500 ms on its link was also queued again each 500 ms.

Change: a request holds at most 1 MiB of entries, but at least one.

--- a/src/hawthornstall/control/append_planner.hpp
+++ b/src/hawthornstall/control/append_planner.hpp
@@ -18,6 +18,9 @@
     std::uint64_t commit = 0;
     std::uint64_t round = 0;
     std::optional<core::duration_ms> confirmation_age;
+    /// Whether a snapshot may be sent. A leader sends one at a time, because each copy of a large
+    /// state takes its full size in memory and on the link.
+    bool may_send_snapshot = true;
 };
 
 /// The member's next entries have been compacted, so it needs the latest snapshot.
--- a/src/hawthornstall/control/consensus_settings.hpp
+++ b/src/hawthornstall/control/consensus_settings.hpp
@@ -27,13 +27,15 @@
     core::duration_ms remove_silent_after{2'000};
     /// Interval at which a host that is not a member repeats its join request.
     core::duration_ms join_every{1'000};
-    /// An unanswered append request is sent again after this time; the synced write of its receiver
-    /// takes several ms.
-    core::duration_ms resend_after{500};
-    /// A snapshot, of up to 50 MB, is sent again after this time if the member answers nothing, and
-    /// at once if it answers a later message instead.
-    core::duration_ms resend_snapshot_after{10'000};
+    /// Entries or a snapshot, of up to 50 MB, are sent again after this time if the member answers
+    /// nothing, and at once if it answers a later message instead. A shorter time would queue them
+    /// twice on a slow link.
+    core::duration_ms resend_after{10'000};
     std::size_t max_entries_per_append = 256;
+    /// Limit on the entries of an append request, as counted by entry_bytes(). The first entry is
+    /// sent whatever its size. Heartbeats wait behind the request on the same connection: 1 MiB
+    /// takes 9 ms at 1 Gbit/s.
+    std::size_t max_bytes_per_append = std::size_t{1} * 1024 * 1024;
     /// Number of entries after which the log is compacted into a snapshot.
     std::size_t compact_after_entries = 1'000;
 };
--- a/src/hawthornstall/control/detail/consensus_node_leader.hpp
+++ b/src/hawthornstall/control/detail/consensus_node_leader.hpp
@@ -156,7 +156,8 @@
     append_header header{.term = election_.term(),
                          .commit = commit_index_,
                          .round = progress_.last_round(),
-                         .confirmation_age = std::nullopt};
+                         .confirmation_age = std::nullopt,
+                         .may_send_snapshot = true};
     if (const auto confirmed = confirmed_at()) {
         header.confirmation_age = now - *confirmed;
     }
@@ -166,6 +167,8 @@
             if (progress == nullptr) {
                 continue;
             }
+            header.may_send_snapshot =
+                !progress_.has_snapshot_in_flight(settings_.remove_silent_after, now);
             auto planned = plan_append(header, storage_.log(), settings_, *progress, now);
             if (!planned) {
                 continue;
--- a/src/hawthornstall/control/replication_progress.cpp
+++ b/src/hawthornstall/control/replication_progress.cpp
@@ -80,6 +80,15 @@
     return rounds_.front().time;
 }
 
+bool replication_progress::has_snapshot_in_flight(core::duration_ms limit,
+                                                  core::time_ms now) const {
+    return std::ranges::any_of(members_, [&](const auto& item) {
+        const auto& progress = item.second;
+        return progress.is_snapshot_in_flight && progress.heard_at &&
+               now - *progress.heard_at <= limit;
+    });
+}
+
 std::vector<member_id> replication_progress::silent_members(core::duration_ms limit,
                                                             core::time_ms now) {
     std::vector<member_id> silent;
--- a/src/hawthornstall/control/replication_progress.hpp
+++ b/src/hawthornstall/control/replication_progress.hpp
@@ -23,9 +23,11 @@
     /// Commit index in the latest append request that continued its log, limited to the last entry
     /// that the request covered.
     std::uint64_t sent_commit = 0;
-    std::uint64_t in_flight_index = 0; ///< Last entry that was sent and is unanswered, or 0.
-    core::time_ms resend_at{};         ///< When entries in flight count as lost.
-    std::optional<std::uint64_t> snapshot_round{}; ///< Round sent with the snapshot in flight.
+    /// Last entry of the entries or the snapshot that are in flight; 0 when there is nothing.
+    std::uint64_t in_flight_index = 0;
+    std::uint64_t in_flight_round = 0;  ///< Confirmation round that was sent with them.
+    bool is_snapshot_in_flight = false; ///< Whether it is a snapshot.
+    core::time_ms resend_at{};          ///< When they count as lost without any answer.
     /// Latest reply, or the first call of silent_members() after it became a member.
     std::optional<core::time_ms> heard_at{};
 };
@@ -57,6 +59,9 @@
     /// Start of the latest round that a quorum answered; this member still led at that time.
     [[nodiscard]] core::time_ms confirmed_at(std::span<const member_id> voters);
 
+    /// Whether a snapshot is in flight to a member that has replied within `limit`.
+    [[nodiscard]] bool has_snapshot_in_flight(core::duration_ms limit, core::time_ms now) const;
+
     /// Members that have not replied for longer than `limit`, which includes the leader itself.
     [[nodiscard]] std::vector<member_id> silent_members(core::duration_ms limit, core::time_ms now);
 
