Compact the configuration log by its size in bytes

Cause: the log was compacted after 1,000 entries whatever their size. 420 entries of 300 KB fill a disk of 128 MB, and a start that reads them takes more than 256 MB of memory. The log of a leader without a majority grew with every change that it was sent.

Change: the log is also compacted once it holds 8 MiB of committed entries. A leader refuses changes while its uncommitted entries exceed 16 MiB, and answers them at once as undecided. A log thus holds at most 24 MiB and two entries, in memory, on disk and at a start.

--- a/src/hawthornstall/control/config_replica.hpp
+++ b/src/hawthornstall/control/config_replica.hpp
@@ -62,8 +62,8 @@
     void receive(const peer_message& message, core::time_ms now) { node_.receive(message, now); }
     void tick(core::time_ms now) { node_.tick(now); }
 
-    /// Proposes a change. False when this replica is not the leader; otherwise a later finish()
-    /// returns the outcome with `token`.
+    /// Proposes a change. False when consensus_node::propose() refuses it; otherwise a later
+    /// finish() returns the outcome with `token`.
     [[nodiscard]] bool submit(entry_payload change, std::uint64_t token) {
         const auto position = node_.propose(std::move(change));
         if (position) {
@@ -119,7 +119,8 @@
 
     config_replica(Storage storage, consensus_settings settings, std::uint64_t seed,
                    core::time_ms now, Store store)
-        : compact_after_entries_(settings.compact_after_entries), store_(std::move(store)),
+        : compact_after_entries_(settings.compact_after_entries),
+          compact_after_bytes_(settings.compact_after_bytes), store_(std::move(store)),
           node_(std::move(storage), std::move(settings), seed, now) {}
 
     void apply(const log_entry& entry, replica_output& output) {
@@ -147,12 +148,16 @@
 
     void compact() {
         const auto commit = node_.commit_index();
-        if (commit - node_.storage().log().base().index >= compact_after_entries_) {
+        const auto& log = node_.storage().log();
+        const auto entries = commit - log.base().index;
+        const auto bytes = log.bytes_after(log.base().index) - log.bytes_after(commit);
+        if (entries >= compact_after_entries_ || bytes >= compact_after_bytes_) {
             node_.compact(commit, store_.snapshot());
         }
     }
 
     std::size_t compact_after_entries_;
+    std::size_t compact_after_bytes_;
     Store store_;
     consensus_node<Storage> node_;
     std::map<std::uint64_t, pending_change> pending_;
--- a/src/hawthornstall/control/consensus_settings.hpp
+++ b/src/hawthornstall/control/consensus_settings.hpp
@@ -36,8 +36,13 @@
     /// sent whatever its size. Heartbeats wait behind the request on the same connection: 1 MiB
     /// takes 9 ms at 1 Gbit/s.
     std::size_t max_bytes_per_append = std::size_t{1} * 1024 * 1024;
-    /// Number of entries after which the log is compacted into a snapshot.
+    /// The log is compacted into a snapshot once it holds this many committed entries, or entries
+    /// of this size, as counted by entry_bytes().
     std::size_t compact_after_entries = 1'000;
+    std::size_t compact_after_bytes = std::size_t{8} * 1024 * 1024;
+    /// A leader accepts no change while uncommitted entries exceed this size. Together with the
+    /// limit above it bounds the log in memory and on disk.
+    std::size_t max_uncommitted_bytes = std::size_t{16} * 1024 * 1024;
 };
 
 } // namespace hawthornstall::control
--- a/src/hawthornstall/control/control_service.hpp
+++ b/src/hawthornstall/control/control_service.hpp
@@ -185,16 +185,19 @@
     }
 
     void start(requester from, edit_request request, core::time_ms /*now*/) {
-        const auto token = ++last_token_;
-        if (replica_.submit(std::move(request.edit), token)) {
-            pending_changes_[token] = {std::move(from), request.number};
-        }
+        start_change(std::move(from), request.number, std::move(request.edit));
     }
 
     void start(requester from, numbered_config_put request, core::time_ms /*now*/) {
+        start_change(std::move(from), request.number, std::move(request.config));
+    }
+
+    void start_change(requester from, std::uint64_t number, entry_payload change) {
         const auto token = ++last_token_;
-        if (replica_.submit(std::move(request.config), token)) {
-            pending_changes_[token] = {std::move(from), request.number};
+        if (replica_.submit(std::move(change), token)) {
+            pending_changes_[token] = {std::move(from), number};
+        } else {
+            reply(from, edit_reply{.number = number, .answer = std::nullopt});
         }
     }
 
--- a/src/hawthornstall/control/detail/consensus_node_impl.hpp
+++ b/src/hawthornstall/control/detail/consensus_node_impl.hpp
@@ -184,7 +184,9 @@
 
 template <log_storage Storage>
 std::optional<log_position> consensus_node<Storage>::propose(entry_payload change) {
-    if (!is_leader() || !failure_.ok()) {
+    const bool is_full =
+        storage_.log().bytes_after(commit_index_) > settings_.max_uncommitted_bytes;
+    if (!is_leader() || !failure_.ok() || is_full) {
         return std::nullopt;
     }
     return append_as_leader(std::move(change));
--- a/src/hawthornstall/control/memory_log.cpp
+++ b/src/hawthornstall/control/memory_log.cpp
@@ -1,5 +1,7 @@
 #include "hawthornstall/control/memory_log.hpp"
 
+#include "hawthornstall/control/entry_size.hpp"
+
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -18,6 +20,11 @@
     return all.subspan(std::min<std::size_t>(first - base_.index - 1, all.size()));
 }
 
+std::size_t memory_log::bytes_after(std::uint64_t index) const {
+    const auto before = std::min<std::size_t>(index - base_.index, entries_.size());
+    return bytes_of_first(entries_.size()) - bytes_of_first(before);
+}
+
 const member_set& memory_log::members_at(std::uint64_t index) const {
     for (auto position = std::min(index, last().index); position > base_.index; --position) {
         const auto& entry = entries_[position - base_.index - 1];
@@ -41,16 +48,27 @@
     }
     const auto kept = entries.front().position.index - base_.index - 1;
     entries_.resize(std::min<std::size_t>(kept, entries_.size()));
+    end_bytes_.resize(entries_.size());
     entries_.insert(entries_.end(), entries.begin(), entries.end());
+    measure();
+}
+
+void memory_log::measure() {
+    while (end_bytes_.size() < entries_.size()) {
+        const auto count = end_bytes_.size();
+        end_bytes_.push_back(bytes_of_first(count) + entry_bytes(entries_[count]));
+    }
 }
 
 void memory_log::rebase(log_position base, member_set members) {
-    std::vector<log_entry> kept;
     if (term_at(base.index) == base.term) {
-        const auto rest = entries_from(base.index + 1);
-        kept.assign(rest.begin(), rest.end());
+        const auto covered = static_cast<std::ptrdiff_t>(base.index - base_.index);
+        entries_.erase(entries_.begin(), entries_.begin() + covered);
+    } else {
+        entries_.clear();
     }
-    entries_ = std::move(kept);
+    end_bytes_.clear();
+    measure();
     base_ = base;
     base_members_ = std::move(members);
 }
--- a/src/hawthornstall/control/memory_log.hpp
+++ b/src/hawthornstall/control/memory_log.hpp
@@ -25,6 +25,10 @@
     /// Entries from `first` on; `first` must be after the base.
     [[nodiscard]] std::span<const log_entry> entries_from(std::uint64_t first) const;
 
+    /// Size of the entries after `index`, as counted by entry_bytes(). `index` must not be before
+    /// the base.
+    [[nodiscard]] std::size_t bytes_after(std::uint64_t index) const;
+
     /// Members in effect once the entry at `index` is in the log.
     [[nodiscard]] const member_set& members_at(std::uint64_t index) const;
 
@@ -39,9 +43,17 @@
     void rebase(log_position base, member_set members);
 
 private:
+    /// Adds the sizes of the last entries to `end_bytes_`.
+    void measure();
+    /// Size of the first `count` entries.
+    [[nodiscard]] std::size_t bytes_of_first(std::size_t count) const {
+        return count == 0 ? 0 : end_bytes_[count - 1];
+    }
+
     log_position base_;
     member_set base_members_;
     std::vector<log_entry> entries_;
+    std::vector<std::size_t> end_bytes_; ///< For each entry, the size of all up to and with it.
 };
 
 } // namespace hawthornstall::control
--- a/tests/hawthornstall/control/control_service_test.cpp
+++ b/tests/hawthornstall/control/control_service_test.cpp
@@ -258,6 +258,29 @@
     }
 }
 
+// Guards against a change that is never answered because the leader refuses it.
+TEST_CASE("a change beyond the limit of uncommitted ones is answered at once") {
+    constexpr std::size_t content_bytes = 1'000'000;
+    constexpr std::size_t count = 30;
+    service_cluster cluster;
+    const auto leader = cluster.leader();
+    cluster.partitioned[(leader + 1) % 3] = cluster.partitioned[(leader + 2) % 3] = true;
+    for (std::uint64_t number = 1; number <= count; ++number) {
+        cluster.services[leader].receive_from_entry(
+            "entry-1",
+            numbered_config_put{number,
+                                {.version = number, .content = std::string(content_bytes, 'x')}},
+            cluster.now);
+    }
+    cluster.run_for(core::duration_ms{10});
+    const auto limit = consensus_settings{}.max_uncommitted_bytes / content_bytes + 1;
+    CHECK(cluster.edits.size() >= count - limit);
+    CHECK(cluster.edits.size() < count);
+    for (const auto& reply : cluster.edits) {
+        CHECK_FALSE(reply.answer.has_value());
+    }
+}
+
 // Guards against a read from a control host that does not know of newer changes.
 TEST_CASE("a cut-off control host confirms no read") {
     for (const bool is_leader : {true, false}) {
--- a/tests/hawthornstall/control/large_entries_test.cpp
+++ b/tests/hawthornstall/control/large_entries_test.cpp
@@ -4,8 +4,10 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <numeric>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace hawthornstall::control {
@@ -55,5 +57,42 @@
     CHECK(largest <= message_bytes);
 }
 
+struct uncommitted_case {
+    std::string_view name;
+    std::size_t content_bytes;
+};
+
+// Guards against a leader without a majority whose log grows with each change until it steps down.
+TEST_CASE("a leader refuses changes beyond its limit of uncommitted entries") {
+    constexpr std::array cases{uncommitted_case{"large changes", config_bytes},
+                               uncommitted_case{"one alone exceeds the limit", 20'000'000}};
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        small_cluster cluster{3};
+        cluster.run_for(join_time);
+        const auto leading = cluster.leader();
+        auto& leader = cluster.nodes[leading];
+        cluster.partitioned[(leading + 1) % 3] = cluster.partitioned[(leading + 2) % 3] = true;
+        const auto propose = [&] {
+            return leader.propose(
+                numbered_config{.version = 1, .content = std::string(test.content_bytes, 'x')});
+        };
+        std::size_t accepted = 0;
+        while (accepted < 1'000 && propose()) {
+            ++accepted;
+        }
+        const auto limit = cluster.settings.max_uncommitted_bytes;
+        CHECK(accepted >= 1);
+        CHECK(leader.storage().log().bytes_after(leader.commit_index()) > limit);
+        CHECK(leader.storage().log().bytes_after(leader.commit_index()) <=
+              limit + 2 * test.content_bytes);
+
+        cluster.partitioned.assign(3, false);
+        cluster.run_for(core::duration_ms{8'000});
+        REQUIRE(cluster.nodes[leading].is_leader());
+        CHECK(propose().has_value());
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::control
--- a/tests/hawthornstall/control/simulated_disk.hpp
+++ b/tests/hawthornstall/control/simulated_disk.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <optional>
 #include <random>
 #include <string>
@@ -65,6 +66,9 @@
     [[nodiscard]] std::size_t operations() const noexcept { return operations_; }
     [[nodiscard]] bool has_power() const noexcept { return has_power_; }
 
+    /// Most bytes that all files together have had.
+    [[nodiscard]] std::size_t most_bytes() const noexcept { return most_bytes_; }
+
     /// Starts the machine again: what is not durable is present, missing or torn at random.
     void restart(std::mt19937& random) {
         if (!has_power_) {
@@ -93,6 +97,7 @@
             return absl::UnavailableError("the disk is full");
         }
         effect();
+        most_bytes_ = std::max(most_bytes_, bytes());
         if (is_hit) {
             has_power_ = false;
             loses_all_unsynced_ = fault_ == disk_fault::power_lost_unsynced;
@@ -142,6 +147,12 @@
     }
 
 private:
+    [[nodiscard]] std::size_t bytes() const {
+        return std::accumulate(
+            names_.begin(), names_.end(), std::size_t{0},
+            [](std::size_t sum, const auto& item) { return sum + item.second->content.size(); });
+    }
+
     void lose_unsynced(std::mt19937& random) {
         std::uniform_int_distribution<int> choice{0, 3}; // 0: nothing of a change arrives.
         for (const auto& change : unsynced_names_) {
@@ -170,6 +181,7 @@
     disk_fault fault_ = disk_fault::none;
     std::size_t fault_at_ = 0;
     std::size_t operations_ = 0;
+    std::size_t most_bytes_ = 0;
     bool has_power_ = true;
     bool loses_all_unsynced_ = false;
 };
