Send an entry host the newest configuration once it has confirmed the last one

Cause: each version was queued for each entry host, by the leader at once and by every follower 300 ms later unless a hello had confirmed it. A version takes 0.1 s on a link of 19 Mbit/s; once a link was behind, hellos came late, all followers sent as well, and pings waited behind. Each digest (one a second from each control host) made the entry host ask for the same change again.

Change: subscriber_table decides who is sent what. An entry host that sends hellos is sent the newest state only, and nothing more until it has confirmed that or 3 s have passed. Followers take turns of 300 ms, and start again when the entry host has made progress. Unconfirmed changes are limited to 16 MiB together. An entry host no longer asks each control host for a change that its hellos have already reported as missing.

--- a/src/hawthornstall/control/config_replica.hpp
+++ b/src/hawthornstall/control/config_replica.hpp
@@ -39,7 +39,6 @@
 struct replica_output {
     std::vector<change_outcome> change_outcomes;
     std::vector<peer_message> messages;
-    bool documents_changed = false;
 };
 
 /// Applies the committed entries of a consensus node to a store and reports the outcomes of the
@@ -80,7 +79,6 @@
             return effects.status();
         }
         replica_output output;
-        const auto revision = store_.revision();
         if (effects->installed_snapshot) {
             store_.restore(std::move(effects->installed_snapshot->state));
         }
@@ -90,7 +88,6 @@
         if (!node_.is_leader()) {
             abandon_pending(output);
         }
-        output.documents_changed = store_.revision() != revision;
         output.messages = std::move(effects->messages);
         compact();
         return output;
--- a/src/hawthornstall/control/control_service.hpp
+++ b/src/hawthornstall/control/control_service.hpp
@@ -5,6 +5,7 @@
 
 #include "hawthornstall/control/config_replica.hpp"
 #include "hawthornstall/control/control_messages.hpp"
+#include "hawthornstall/control/subscriber_table.hpp"
 
 #include <algorithm>
 #include <map>
@@ -25,12 +26,6 @@
 /// leader without a quorum steps down.
 constexpr core::duration_ms max_digest_age{2'000};
 
-/// Delay after which a follower sends a change to entry hosts that send hellos to all control
-/// hosts. By then their hellos have reported whether the leader's message reached them. A large
-/// configuration sent by every control host at once would saturate the link of a small host for
-/// seconds.
-constexpr core::duration_ms follower_push_delay{300};
-
 /// Message with the control host that receives it.
 struct to_control_host {
     std::string host;
@@ -67,7 +62,7 @@
     }
 
     /// Drops the subscription of `host`, which subscribes again once it is reachable.
-    void entry_unreachable(std::string_view host) { subscribers_.erase(std::string{host}); }
+    void entry_unreachable(std::string_view host) { subscribers_.remove(host); }
 
     void tick(core::time_ms now) {
         replica_.tick(now);
@@ -75,10 +70,6 @@
             next_digest_ = now + digest_interval;
             digest_due_ = true;
         }
-        if (delayed_push_at_ && now >= *delayed_push_at_) {
-            delayed_push_at_.reset();
-            push_deltas(true);
-        }
     }
 
     /// Makes the collected inputs durable and returns the messages that follow from them. After an
@@ -96,9 +87,7 @@
             answer(outcome);
         }
         answer_reads();
-        if (replicated->documents_changed) {
-            push_changes(now);
-        }
+        push_changes(now);
         if (std::exchange(digest_due_, false)) {
             push_digests(now);
         }
@@ -114,11 +103,6 @@
         std::optional<std::string> forwarded_by;
     };
 
-    struct subscriber {
-        std::uint64_t revision = 0; ///< Latest revision that was sent to it or reported by it.
-        bool sends_hello = false;   ///< It sends hellos to all control hosts.
-    };
-
     struct pending_change {
         requester from;
         std::uint64_t number = 0;
@@ -145,10 +129,8 @@
               std::move(message.reply));
     }
 
-    void handle_entry(std::string_view host, config_subscribe message, core::time_ms /*now*/) {
-        auto& item = subscribers_[std::string{host}];
-        item.revision = message.revision;
-        push_delta(std::string{host}, item.revision);
+    void handle_entry(std::string_view host, config_subscribe message, core::time_ms now) {
+        subscribers_.subscribe(host, message.revision, now);
     }
 
     void handle_entry(std::string_view /*host*/, const discovery::host_hello& message,
@@ -156,13 +138,7 @@
         // The subscription was dropped if this host could not reach the entry host. The entry host
         // does not notice this if messages of this host kept arriving, so its hello renews the
         // subscription.
-        const auto [position, is_new] =
-            subscribers_.try_emplace(message.host.name, subscriber{message.config_revision, true});
-        auto& revision = position->second.revision;
-        revision = std::max(revision, message.config_revision);
-        if (is_new) {
-            push_changes(now);
-        }
+        subscribers_.confirm(message.host.name, message.config_revision, now);
     }
 
     template <class Request>
@@ -274,31 +250,35 @@
         }
     }
 
-    void push_delta(const std::string& host, std::uint64_t& revision) {
-        auto delta = replica_.store().delta_after(revision);
-        // A replica that lags behind the subscriber has nothing new for it.
-        if (delta.to_revision >= revision) {
-            revision = delta.to_revision;
-            output_.to_entry.push_back({host, std::move(delta)});
-        }
-    }
-
+    /// Sends the documents that changed to the entry hosts whose turn it is.
     void push_changes(core::time_ms now) {
-        const bool leads = replica_.node().is_leader();
-        push_deltas(leads);
-        if (!leads && !delayed_push_at_) {
-            delayed_push_at_ = now + follower_push_delay;
+        const auto& store = replica_.store();
+        const push_state state{.revision = store.revision(),
+                               .change_bytes = store.numbered().content.size(),
+                               .follower = place_among_followers()};
+        for (const auto& push : subscribers_.take_due(state, now)) {
+            output_.to_entry.push_back({push.host, store.delta_after(push.from_revision)});
         }
     }
 
-    /// Sends the documents that changed since each subscriber's revision; without `to_all` only to
-    /// subscribers that do not send hellos to all control hosts.
-    void push_deltas(bool to_all) {
-        for (auto& [host, item] : subscribers_) {
-            if (item.revision < replica_.store().revision() && (to_all || !item.sends_hello)) {
-                push_delta(host, item.revision);
+    /// Empty when this host leads.
+    [[nodiscard]] std::optional<follower_place> place_among_followers() const {
+        const auto& node = replica_.node();
+        if (node.is_leader()) {
+            return std::nullopt;
+        }
+        const auto& self = node.storage().state().self;
+        const auto leader = node.current_election().leader();
+        follower_place place{.index = 0, .count = 1};
+        for (const auto* group : {&node.members().voters, &node.members().learners}) {
+            for (const auto& member : *group) {
+                if (member != self && member != leader) {
+                    ++place.count;
+                    place.index += member < self ? 1 : 0;
+                }
             }
         }
+        return place;
     }
 
     void push_digests(core::time_ms now) {
@@ -306,14 +286,13 @@
         if (!digest || digest->confirmation_age > max_digest_age) {
             return;
         }
-        for (const auto& [host, item] : subscribers_) {
-            output_.to_entry.push_back({host, *digest});
+        for (auto& host : subscribers_.hosts()) {
+            output_.to_entry.push_back({std::move(host), *digest});
         }
     }
 
     config_replica<Storage> replica_;
-    std::map<std::string, subscriber> subscribers_; ///< By entry host.
-    std::optional<core::time_ms> delayed_push_at_;  ///< When a follower sends deltas to all.
+    subscriber_table subscribers_;
     std::map<std::uint64_t, pending_change> pending_changes_; ///< By token.
     std::vector<pending_read> pending_reads_;
     std::uint64_t last_token_ = 0;
--- a/src/hawthornstall/runs/detail/dispatch_host_messages.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_messages.hpp
@@ -41,10 +41,9 @@
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::on_control_message(std::string_view host,
                                               const control::config_digest& digest) {
-    const auto outcome = documents_.check(digest, now());
-    if (outcome == control::digest_outcome::behind) {
-        subscribe(host, documents_.revision());
-    } else if (outcome == control::digest_outcome::differs) {
+    // Control hosts know from the hellos what this host lacks, and one of them sends it. A request
+    // to each of them would fill the link with copies of one configuration.
+    if (documents_.check(digest, now()) == control::digest_outcome::differs) {
         subscribe(host, 0);
     }
 }
