Create the configuration log with three voters at once

Cause: members joined one at a time, so the voters went 1, 2, 3. With two, the host that lost its disk is a new member, and the other one alone is no majority. How long that state lasts depends on the slowest disk. A change that the single voter committed before was on one disk only.

Change: a single voter waits until two learners have caught up and lets them vote in one step, unless no other host is about to follow. This is safe from a single voter on: it holds the change on its disk before another member receives it, so no quorum of the earlier members can decide without it. While a cluster of several hosts has one voter, changes are refused; their senders get "undecided" and send them again.

Evidence: a disk lost at each 50 ms of the first 4 s, with and without a slow host: a leader and three voters in each of 324 plays.

--- a/src/hawthornstall/control/consensus_node.hpp
+++ b/src/hawthornstall/control/consensus_node.hpp
@@ -55,8 +55,9 @@
     void receive(const peer_message& message, core::time_ms now);
     void tick(core::time_ms now);
 
-    /// Appends an entry and returns its position; empty when this member is not the leader or has
-    /// too many uncommitted entries. The change takes effect once an entry with exactly this
+    /// Appends an entry and returns its position; empty when this member is not the leader, has
+    /// too many uncommitted entries, or is the only voter of a cluster of several hosts. The change
+    /// takes effect once an entry with exactly this
     /// position is committed.
     [[nodiscard]] std::optional<log_position> propose(entry_payload change);
 
@@ -106,6 +107,7 @@
     void request_join(core::time_ms now);
     void create_cluster_if_all_hosts_new(core::time_ms now);
     [[nodiscard]] bool may_change_members() const;
+    [[nodiscard]] bool has_single_copy() const;
     void change_members(core::time_ms now);
     void make_durable();
     void advance_commit();
--- a/src/hawthornstall/control/detail/consensus_node_impl.hpp
+++ b/src/hawthornstall/control/detail/consensus_node_impl.hpp
@@ -186,7 +186,7 @@
 std::optional<log_position> consensus_node<Storage>::propose(entry_payload change) {
     const bool is_full =
         storage_.log().bytes_after(commit_index_) > settings_.max_uncommitted_bytes;
-    if (!is_leader() || !failure_.ok() || is_full) {
+    if (!is_leader() || !failure_.ok() || is_full || has_single_copy()) {
         return std::nullopt;
     }
     return append_as_leader(std::move(change));
--- a/src/hawthornstall/control/detail/consensus_node_leader.hpp
+++ b/src/hawthornstall/control/detail/consensus_node_leader.hpp
@@ -96,6 +96,12 @@
            storage_.log().members_changed_at() <= commit_index_;
 }
 
+/// Whether a committed change would be lost with this member's disk, although other hosts belong to
+/// the cluster. This is the case while the cluster is created.
+template <log_storage Storage> bool consensus_node<Storage>::has_single_copy() const {
+    return members_.voters.size() == 1 && settings_.hosts.size() > 1;
+}
+
 template <log_storage Storage> void consensus_node<Storage>::change_members(core::time_ms now) {
     if (!may_change_members()) {
         return;
--- a/src/hawthornstall/control/member_changes.cpp
+++ b/src/hawthornstall/control/member_changes.cpp
@@ -1,6 +1,7 @@
 #include "hawthornstall/control/member_changes.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace hawthornstall::control {
@@ -22,6 +23,47 @@
 /// a committed entry.
 constexpr std::size_t min_voters_before_removal = 4;
 
+/// Learners that may vote now: they have caught up, are not silent, and no voter has their host.
+std::vector<member_id> promotable_learners(const member_set& current,
+                                           const member_observations& observed) {
+    std::vector<member_id> found;
+    std::ranges::copy_if(current.learners, std::back_inserter(found), [&](const auto& learner) {
+        return contains(observed.caught_up, learner) && !contains(observed.silent, learner) &&
+               other_identity(current.voters, learner) == nullptr;
+    });
+    return found;
+}
+
+/// Whether more hosts than `promotable` are about to vote: live learners and hosts that join.
+bool others_follow(const member_set& current, const member_observations& observed,
+                   std::size_t promotable) {
+    const auto learners = std::ranges::count_if(
+        current.learners, [&](const auto& learner) { return !contains(observed.silent, learner); });
+    const auto joining = std::ranges::count_if(
+        observed.joining, [&](const auto& member) { return !is_member(current, member); });
+    return static_cast<std::size_t>(learners + joining) > promotable;
+}
+
+/// Lets all learners that have caught up vote in one step, from a single voter on. With two voters
+/// the loss of one disk would end the majority for good, so a single learner waits for others.
+///
+/// Adding several voters at once is safe here: the only voter keeps the change on its disk before
+/// another member receives it, so no quorum of the earlier members can decide without it.
+std::optional<member_set> promote_first_learners(const member_set& current,
+                                                 const member_observations& observed) {
+    const auto promoted = promotable_learners(current, observed);
+    if (promoted.empty() ||
+        (promoted.size() == 1 && others_follow(current, observed, promoted.size()))) {
+        return std::nullopt;
+    }
+    auto changed = current;
+    for (const auto& learner : promoted) {
+        changed = without_member(std::move(changed), learner);
+        changed.voters.push_back(learner);
+    }
+    return changed;
+}
+
 /// Voter to remove because it is silent, or null.
 const member_id* removable_voter(const member_set& current, const member_id& self,
                                  std::span<const member_id> silent) {
@@ -65,8 +107,13 @@
     if (const auto* const voter = detail::removable_voter(current, self, observed.silent)) {
         return without_member(current, *voter);
     }
+    const bool is_alone = current.voters.size() == 1;
+    if (auto promoted =
+            is_alone ? detail::promote_first_learners(current, observed) : std::nullopt) {
+        return promoted;
+    }
     for (const auto& learner : current.learners) {
-        if (!detail::contains(observed.caught_up, learner) ||
+        if (is_alone || !detail::contains(observed.caught_up, learner) ||
             detail::contains(observed.silent, learner)) {
             continue;
         }
--- a/tests/hawthornstall/control/consensus_node_test.cpp
+++ b/tests/hawthornstall/control/consensus_node_test.cpp
@@ -6,8 +6,10 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace hawthornstall::control {
@@ -275,6 +277,64 @@
     }
 }
 
+struct founding_case {
+    std::string_view name;
+    std::size_t lost;                ///< Host that loses its disk.
+    std::optional<std::size_t> slow; ///< Host that catches up late.
+};
+
+// Guards against a cluster that never decides again: while it was created it had two voters, and
+// one of them lost its disk.
+TEST_CASE("a disk lost at any moment of the creation leaves a majority") {
+    constexpr std::array cases{
+        founding_case{"no slow host", 1, std::nullopt}, founding_case{"the lost one is slow", 1, 1},
+        founding_case{"the other one is slow", 1, 2}, founding_case{"the last one is lost", 2, 1}};
+    constexpr core::duration_ms slow_until{2'000};
+    constexpr core::duration_ms last_moment{4'000};
+    constexpr core::duration_ms moment_step{50};
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        for (core::duration_ms moment{0}; moment <= last_moment; moment += moment_step) {
+            CAPTURE(moment.count());
+            small_cluster cluster{3};
+            const auto start = cluster.now;
+            cluster.is_lost = [&](const peer_message& message) {
+                const auto* const request = std::get_if<append_request>(&message.body);
+                return test.slow && cluster.now - start < slow_until && request != nullptr &&
+                       !request->entries.empty() &&
+                       small_cluster::index_of(message.to.host) == *test.slow;
+            };
+            cluster.run_for(moment);
+            cluster.lose_disk(test.lost);
+            cluster.run_for(join_time);
+            auto& leader = cluster.nodes[cluster.leader()];
+            const auto position = leader.propose(make_edit("e", 0));
+            REQUIRE(position.has_value());
+            cluster.run_for(2 * round_trip);
+            CHECK(leader.commit_index() >= position->index);
+            CHECK(leader.members().voters.size() == 3);
+        }
+    }
+}
+
+// Guards against changes that a leader commits alone while its cluster is created, and that are
+// lost with its disk.
+TEST_CASE("no change is accepted while a cluster of several hosts has one voter") {
+    for (const std::size_t hosts : {1, 3}) {
+        CAPTURE(hosts);
+        small_cluster cluster{hosts};
+        std::size_t accepted_alone = 0;
+        for (const auto end = cluster.now + join_time; cluster.now < end;) {
+            cluster.run_for(core::duration_ms{10});
+            for (auto& node : cluster.nodes) {
+                const bool is_alone = node.members().voters.size() == 1;
+                accepted_alone += is_alone && node.propose(make_edit("e", 0)) ? 1 : 0;
+            }
+        }
+        CHECK((accepted_alone > 0) == (hosts == 1));
+    }
+}
+
 // Guards against a voter that was removed during an outage and doesn't return to the voters.
 TEST_CASE("a voter that was removed while it was unreachable becomes a voter again") {
     small_cluster cluster{4};
--- a/tests/hawthornstall/control/member_changes_test.cpp
+++ b/tests/hawthornstall/control/member_changes_test.cpp
@@ -43,6 +43,11 @@
                 "e"},
     change_case{"one at a time", "abcdef", "", "", "", "bc", "acdef", ""},
     change_case{"the last two stay", "ab", "", "", "", "b", "ab", ""},
+    change_case{"the first learner waits for another one", "a", "bc", "", "b", "", "a", "bc"},
+    change_case{"it waits for a host that joins", "a", "b", "c", "b", "", "a", "bc"},
+    change_case{"it doesn't wait for a silent one", "a", "bc", "", "b", "c", "ab", "c"},
+    change_case{"two hosts only", "a", "b", "", "b", "", "ab", ""},
+    change_case{"the first learners vote together", "a", "bcd", "e", "bc", "", "abc", "d"},
     change_case{"the leader stays", "abcd", "", "", "", "a", "abcd", ""},
 };
 
