Log why a link was given up and how long a member has heard no leader

peer_unreachable now has the silence of the peer and the bytes queued for it, role_changed the time since the process started, the term and the time without a leader. The event of a link between entry hosts is reported where the link is known, in dispatch_host.

--- a/src/hawthornstall/control/control_event_log.cpp
+++ b/src/hawthornstall/control/control_event_log.cpp
@@ -11,16 +11,19 @@
               {{"moved_to", detail}});
         break;
     case kind::role_changed:
-        write({.name = "role_changed"}, {{"role", detail}});
+        write({.name = "role_changed"},
+              {{"role", std::string_view{event.subject}}, {"detail", detail}});
         break;
     case kind::members_changed:
         write({.name = "members_changed"}, {{"detail", detail}});
         break;
     case kind::peer_reachable:
-        write({.name = "peer_reachable", .peer = detail});
+        write({.name = "peer_reachable", .peer = event.subject});
         break;
     case kind::peer_unreachable:
-        write({.level = core::log_level::warning, .name = "peer_unreachable", .peer = detail});
+        write(
+            {.level = core::log_level::warning, .name = "peer_unreachable", .peer = event.subject},
+            {{"detail", detail}});
         break;
     case kind::storage_failed:
         write({.level = core::log_level::error, .name = "storage_failed"}, {{"error", detail}});
--- a/src/hawthornstall/control/control_logic.cpp
+++ b/src/hawthornstall/control/control_logic.cpp
@@ -209,6 +209,7 @@
 
 void control_logic::attach(runtime::event_loop& loop) {
     loop_ = &loop;
+    started_ = core::ms_clock::now();
     if (const auto status = open_storage(); !status.ok()) {
         throw std::runtime_error{core::describe(status)};
     }
@@ -270,10 +271,25 @@
 
 void control_logic::report_role(member_role role) {
     if (std::exchange(last_role_, role) != role) {
-        report_({control_event::kind::role_changed, std::string{detail::role_name(role)}});
+        report_({.what = control_event::kind::role_changed,
+                 .detail = describe_leader_contact(),
+                 .subject = std::string{detail::role_name(role)}});
     }
 }
 
+/// How long this process has heard no leader, and how long it runs: an election soon after a start
+/// points to a process that has ended, a long silence to a leader that is busy or cut off.
+std::string control_logic::describe_leader_contact() const {
+    const auto now = core::ms_clock::now();
+    auto text = "running for " + std::to_string((now - started_).count()) + " ms";
+    if (service_ != nullptr) {
+        const auto& election = service_->replica().node().current_election();
+        text += ", term " + std::to_string(election.term()) + ", no leader for " +
+                std::to_string((now - election.last_leader_contact()).count()) + " ms";
+    }
+    return text;
+}
+
 void control_logic::report_members(const member_set& members) {
     if (members != last_members_) {
         last_members_ = members;
@@ -304,9 +320,10 @@
 }
 
 void control_logic::update_reachability(std::string_view peer, bool reachable) {
-    report_(
-        {reachable ? control_event::kind::peer_reachable : control_event::kind::peer_unreachable,
-         std::string{peer}});
+    using kind = control_event::kind;
+    report_({.what = reachable ? kind::peer_reachable : kind::peer_unreachable,
+             .detail = net::describe(links_->condition(peer)),
+             .subject = std::string{peer}});
     if (is_control_host(peer)) {
         if (reachable) {
             reachable_control_hosts_.emplace(peer);
--- a/src/hawthornstall/control/control_logic.hpp
+++ b/src/hawthornstall/control/control_logic.hpp
@@ -80,17 +80,18 @@
 /// Event of control_logic that is logged and counted.
 struct control_event {
     enum class kind : std::uint8_t {
-        folder_damaged,  ///< `detail` is where the damaged folder was moved.
-        role_changed,    ///< `detail` is the new role.
-        members_changed, ///< `detail` lists the voters and the learners of the log.
-        peer_reachable,
-        peer_unreachable,
+        folder_damaged,   ///< `detail` is where the damaged folder was moved.
+        role_changed,     ///< `subject` is the new role, `detail` tells of the contact to a leader.
+        members_changed,  ///< `detail` lists the voters and the learners of the log.
+        peer_reachable,   ///< `subject` is the peer.
+        peer_unreachable, ///< `subject` is the peer, `detail` the condition of its link.
         storage_failed,   ///< The replica is unavailable. `detail` describes the error.
         storage_reopened, ///< The replica is available again.
         storage_slow,     ///< `detail` tells for how long a synced write blocked this task.
     };
     kind what = kind::storage_failed;
     std::string detail;
+    std::string subject{};
 };
 
 /// Runs control_service on a loop task. While the storage fails, the replica is unavailable,
@@ -129,6 +130,7 @@
     void retry_storage(core::time_ms now);
     void relay(core::time_ms now);
     void report_role(member_role role);
+    [[nodiscard]] std::string describe_leader_contact() const;
     void report_members(const member_set& members);
     void receive(std::string_view peer, std::string_view body);
     void update_reachability(std::string_view peer, bool reachable);
@@ -141,6 +143,7 @@
     runtime::address<gateway_message> gateway_; ///< Null when this host has no gateway.
     std::set<std::string, std::less<>> reachable_control_hosts_;
     runtime::event_loop* loop_ = nullptr;
+    core::time_ms started_{};
     std::unique_ptr<net::peer_links> links_;
     discovery::announcement_relay relay_;
     std::unique_ptr<control_service<file_storage>> service_; ///< Null while the storage fails.
--- a/src/hawthornstall/net/link_state.cpp
+++ b/src/hawthornstall/net/link_state.cpp
@@ -14,6 +14,11 @@
 
 } // namespace detail
 
+std::string describe(const link_condition& condition) {
+    return "silent for " + std::to_string(condition.silence.count()) + " ms, " +
+           std::to_string(condition.queued_bytes) + " bytes queued";
+}
+
 reception link_state::receive(const peer_envelope& envelope, std::uint64_t connection,
                               core::time_ms now) {
     // An envelope of a process that has ended can arrive after the first one of its successor, but
--- a/src/hawthornstall/net/link_state.hpp
+++ b/src/hawthornstall/net/link_state.hpp
@@ -8,7 +8,9 @@
 #include "hawthornstall/net/stream_check.hpp"
 
 #include <concepts>
+#include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -37,6 +39,16 @@
     core::time_ms peer_time{}; ///< On the peer's clock.
 };
 
+/// What a link looks like at the moment, to explain why it was given up.
+struct link_condition {
+    core::duration_ms silence{};  ///< Time since the last message of the peer.
+    std::size_t queued_bytes = 0; ///< For the peer, not yet taken by the system.
+};
+
+/// The condition of a link for a log line. A short silence means that the peer has restarted or has
+/// given up the link itself; queued bytes mean that pings wait behind other messages.
+[[nodiscard]] std::string describe(const link_condition& condition);
+
 /// What a received envelope means.
 struct reception {
     bool accepted = false; ///< False for late envelopes, which must be ignored.
--- a/src/hawthornstall/net/peer_dialer.cpp
+++ b/src/hawthornstall/net/peer_dialer.cpp
@@ -78,6 +78,10 @@
     return absl::OkStatus();
 }
 
+std::size_t peer_dialer::queued_bytes() const noexcept {
+    return evbuffer_get_length(queue());
+}
+
 evbuffer* peer_dialer::queue() const noexcept {
     return connected_ ? bufferevent_get_output(socket_.get()) : waiting_.get();
 }
--- a/src/hawthornstall/net/peer_dialer.hpp
+++ b/src/hawthornstall/net/peer_dialer.hpp
@@ -35,6 +35,9 @@
     /// Queues `message`. Fails when too much is queued already.
     [[nodiscard]] absl::Status send(std::string_view message);
 
+    /// Bytes of messages that are queued here and not yet taken by the system.
+    [[nodiscard]] std::size_t queued_bytes() const noexcept;
+
     /// Whether the next message is the first one on its connection.
     [[nodiscard]] bool starts_connection() const noexcept { return starts_connection_; }
 
--- a/src/hawthornstall/net/peer_links.cpp
+++ b/src/hawthornstall/net/peer_links.cpp
@@ -92,6 +92,16 @@
     return found != links_.end() && found->second.state.reachable();
 }
 
+link_condition peer_links::condition(std::string_view peer) const {
+    const auto found = links_.find(peer);
+    if (found == links_.end()) {
+        return {};
+    }
+    const auto& peer_link = found->second;
+    return {.silence = core::ms_clock::now() - peer_link.state.last_heard(),
+            .queued_bytes = peer_link.dialer.queued_bytes()};
+}
+
 sign_of_life peer_links::last_sign_of_life(std::string_view peer) const {
     const auto found = links_.find(peer);
     return found == links_.end() ? sign_of_life{} : found->second.state.last_sign_of_life();
--- a/src/hawthornstall/net/peer_links.hpp
+++ b/src/hawthornstall/net/peer_links.hpp
@@ -98,6 +98,9 @@
     /// link_state::last_sign_of_life() of the link to `peer`; the epochs if there is none.
     [[nodiscard]] sign_of_life last_sign_of_life(std::string_view peer) const;
 
+    /// The condition of the link to `peer`; without silence and bytes if there is none.
+    [[nodiscard]] link_condition condition(std::string_view peer) const;
+
     [[nodiscard]] const link_counters& counters() const noexcept { return counters_; }
 
 private:
--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -157,8 +157,8 @@
 
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::on_link_change(std::string_view peer, net::link_change change) {
+    report_(link_event(peer, change, links_->condition(peer)));
     if (is_control_host(peer)) {
-        report_(link_event(peer, change));
         if (change != net::link_change::unreachable) {
             send_control(peer, discovery::host_hello{options_.host, documents_.revision()});
         }
--- a/src/hawthornstall/runs/dispatch_logic.cpp
+++ b/src/hawthornstall/runs/dispatch_logic.cpp
@@ -31,11 +31,13 @@
 
 } // namespace detail
 
-dispatch_event link_event(std::string_view peer, net::link_change change) {
+dispatch_event link_event(std::string_view peer, net::link_change change,
+                          const net::link_condition& condition) {
     const bool reachable = change == net::link_change::reachable;
     return {.level = reachable ? core::log_level::info : core::log_level::warning,
             .name = detail::event_of(change),
-            .peer = std::string{peer}};
+            .peer = std::string{peer},
+            .detail = net::describe(condition)};
 }
 
 dispatch_logic::dispatch_logic(const discovery::host_record& host, run_bounds bounds,
@@ -107,7 +109,6 @@
 
 void dispatch_logic::link_changed(std::string_view peer, net::link_change change,
                                   core::time_ms now) {
-    effects_.events.push_back(link_event(peer, change));
     if (change == net::link_change::unreachable) {
         reachable_.erase(std::string{peer});
         hosts_.unreachable(peer);
--- a/src/hawthornstall/runs/dispatch_logic.hpp
+++ b/src/hawthornstall/runs/dispatch_logic.hpp
@@ -38,7 +38,8 @@
 };
 
 /// The event of a change of the link to `peer`.
-[[nodiscard]] dispatch_event link_event(std::string_view peer, net::link_change change);
+[[nodiscard]] dispatch_event link_event(std::string_view peer, net::link_change change,
+                                        const net::link_condition& condition);
 
 /// Front end, scheduler and lease holder of one entry host, and its view of the other hosts. Passes
 /// the messages between the three and names what is to be sent, called, answered and logged.
--- a/tests/hawthornstall/net/peer_links_test.cpp
+++ b/tests/hawthornstall/net/peer_links_test.cpp
@@ -1,4 +1,5 @@
 #include "hawthornstall/core/error.hpp"
+#include "hawthornstall/net/frame.hpp"
 #include "hawthornstall/net/peer_dialer.hpp"
 #include "hawthornstall/net/peer_links.hpp"
 #include "hawthornstall/net/peer_listener.hpp"
@@ -109,6 +110,7 @@
         if (first.states.size() == 1) {
             restart = loop.after(core::duration_ms{0}, [&] { second.reset(); });
         } else if (first.states.size() == 2) {
+            CHECK(first.links.condition("second").silence > silence_limit);
             second = std::make_unique<node>(loop, "second", addresses[1]);
             REQUIRE(second->links.start(to_first).ok());
         } else {
@@ -378,6 +380,19 @@
     CHECK_FALSE(dialer.starts_connection());
 }
 
+// Guards against a log line that hides how many bytes waited when a link was given up.
+TEST_CASE("the bytes that wait for a connection are counted") {
+    runtime::event_loop loop;
+    const auto addresses = testing::free_addresses<1>();
+    peer_dialer dialer{loop, addresses[0]};
+    CHECK(dialer.queued_bytes() == 0);
+    constexpr std::string_view message = "message";
+    REQUIRE(dialer.send(message).ok());
+    CHECK(dialer.queued_bytes() == frame_header_bytes + message.size());
+    CHECK(describe(link_condition{.silence = core::duration_ms{700}, .queued_bytes = 11}) ==
+          "silent for 700 ms, 11 bytes queued");
+}
+
 // Guards against a peer that never learns that this side has counted it as lost, because its
 // messages were late and not lost, and against a message that it sent before it knew.
 TEST_CASE("a peer that was silent for too long is told so") {
