Count bytes of an incomplete message as activity of its sender

Callers saw: on a link that takes longer than the silence limit (0.7 s) for one configuration, no configuration ever came into force.

Cause: pings wait behind a large message on the same connection. Its receiver had heard nothing complete for 0.7 s, counted the sender as lost and told it so; the sender closed the connection, and the message was sent again from its start.

Change: peer_links asks its listener when bytes last arrived on the connection that carried the peer's last message. A peer whose bytes stop counts as lost as before. When a peer certainly was alive (last_sign_of_life), which leases rest on, still follows from complete messages only.

--- a/src/hawthornstall/net/link_state.cpp
+++ b/src/hawthornstall/net/link_state.cpp
@@ -93,8 +93,14 @@
     start_session();
 }
 
+void link_state::receive_bytes(std::uint64_t connection, core::time_ms at) noexcept {
+    if (connection == heard_connection_) {
+        last_bytes_ = std::max(last_bytes_, at);
+    }
+}
+
 bool link_state::lose_if_silent(core::duration_ms limit, core::time_ms now) {
-    if (!reachable_ || now - last_heard_ <= limit) {
+    if (!reachable_ || now - last_activity() <= limit) {
         return false;
     }
     received_.reset();
--- a/src/hawthornstall/net/link_state.hpp
+++ b/src/hawthornstall/net/link_state.hpp
@@ -7,6 +7,7 @@
 #include "hawthornstall/net/peer_envelope.hpp"
 #include "hawthornstall/net/stream_check.hpp"
 
+#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -74,6 +75,10 @@
     [[nodiscard]] peer_envelope next_envelope(std::string_view sender, envelope_kind kind,
                                               std::string_view body, core::time_ms now);
 
+    /// Bytes of an incomplete message have arrived on `connection`. They count as activity of the
+    /// peer: pings wait behind a message that takes longer on its link than the silence limit.
+    void receive_bytes(std::uint64_t connection, core::time_ms at) noexcept;
+
     /// Counts the peer as lost if it is reachable but has been silent for longer than `limit`.
     /// Returns whether it was lost.
     [[nodiscard]] bool lose_if_silent(core::duration_ms limit, core::time_ms now);
@@ -83,6 +88,11 @@
     /// When an envelope of the peer was last accepted; the epoch of the clock if never.
     [[nodiscard]] core::time_ms last_heard() const noexcept { return last_heard_; }
 
+    /// When an envelope, or a part of one on the same connection, last arrived.
+    [[nodiscard]] core::time_ms last_activity() const noexcept {
+        return std::max(last_heard_, last_bytes_);
+    }
+
     /// The latest sign of life of the peer's present process; the epochs of the clocks while the
     /// peer has not heard this process. An envelope can arrive long after its sender has ended, so
     /// its arrival is no proof. The proof is the time at which this process sent the envelope that
@@ -101,6 +111,7 @@
     stream_check received_;
     bool reachable_ = false;
     core::time_ms last_heard_{};
+    core::time_ms last_bytes_{};
     std::uint64_t heard_connection_ = 0;  ///< Latest one that carried an accepted envelope.
     std::uint64_t heard_incarnation_ = 0; ///< Of the last accepted envelope.
     std::uint64_t heard_session_ = 0;     ///< Of the last accepted envelope.
--- a/src/hawthornstall/net/peer_links.cpp
+++ b/src/hawthornstall/net/peer_links.cpp
@@ -98,7 +98,7 @@
         return {};
     }
     const auto& peer_link = found->second;
-    return {.silence = core::ms_clock::now() - peer_link.state.last_heard(),
+    return {.silence = core::ms_clock::now() - peer_link.state.last_activity(),
             .queued_bytes = peer_link.dialer.queued_bytes()};
 }
 
@@ -177,18 +177,27 @@
     return found == links_.end() ? nullptr : &found->second;
 }
 
+void peer_links::note_partial_messages() {
+    for (const auto& [connection, sender] : senders_) {
+        if (const auto found = links_.find(sender.name); found != links_.end()) {
+            found->second.state.receive_bytes(connection, listener_.last_read(connection));
+        }
+    }
+}
+
 void peer_links::check_liveness() {
     const auto now = core::ms_clock::now();
+    note_partial_messages();
     for (auto& [name, peer_link] : links_) {
-        const auto last_heard = peer_link.state.last_heard();
-        const bool silent = now - last_heard > self_.silent_after;
+        const auto last_activity = peer_link.state.last_activity();
+        const bool silent = now - last_activity > self_.silent_after;
         if (peer_link.state.lose_if_silent(self_.silent_after, now)) {
             on_state_(name, link_change::unreachable);
         }
         // The first connection attempt is lost if the peer's machine is still starting, and TCP
         // retransmits it only after a second.
         const auto redial_interval =
-            last_heard == core::time_ms{} ? self_.ping_every : self_.silent_after;
+            last_activity == core::time_ms{} ? self_.ping_every : self_.silent_after;
         if (silent && now - peer_link.last_replaced > redial_interval) {
             replace_connection(peer_link, now);
             ++counters_.links_replaced;
--- a/src/hawthornstall/net/peer_links.hpp
+++ b/src/hawthornstall/net/peer_links.hpp
@@ -131,6 +131,8 @@
     [[nodiscard]] bool complete_sender(std::uint64_t connection, peer_envelope& envelope);
     /// The sender's link, added if unlisted senders are accepted; null if it may not link.
     [[nodiscard]] link* find_or_add_sender(std::string_view name);
+    /// Takes note of messages that have arrived in part.
+    void note_partial_messages();
     /// Updates reachability, replaces connections to unresponsive peers and sends the pings.
     void check_liveness();
     /// Closes the link's connection, if any, and dials the peer again.
--- a/src/hawthornstall/net/peer_listener.cpp
+++ b/src/hawthornstall/net/peer_listener.cpp
@@ -45,6 +45,11 @@
     return absl::OkStatus();
 }
 
+core::time_ms peer_listener::last_read(std::uint64_t connection) const {
+    const auto found = connections_.find(connection);
+    return found == connections_.end() ? core::time_ms{} : found->second.last_read;
+}
+
 void peer_listener::close_silent(core::duration_ms limit, core::time_ms now) {
     std::erase_if(connections_,
                   [&](const auto& item) { return now - item.second.last_read > limit; });
--- a/src/hawthornstall/net/peer_listener.hpp
+++ b/src/hawthornstall/net/peer_listener.hpp
@@ -44,6 +44,9 @@
         return connections_.contains(connection);
     }
 
+    /// When bytes last arrived on the connection with this number; the epoch if it is closed.
+    [[nodiscard]] core::time_ms last_read(std::uint64_t connection) const;
+
     /// Closes connections on which nothing has arrived for longer than `limit`.
     void close_silent(core::duration_ms limit, core::time_ms now);
 
