--- a/tests/hawthornstall/control/control_service_test.cpp
+++ b/tests/hawthornstall/control/control_service_test.cpp
@@ -56,6 +56,15 @@
         }
     }
 
+    /// The entry host confirms to each control host what it has received.
+    void send_hellos() {
+        const discovery::host_hello hello{.host = {.name = "entry-1", .zone = "a"},
+                                          .config_revision = copy.revision()};
+        for (auto& service : services) {
+            service.receive_from_entry("entry-1", hello, now);
+        }
+    }
+
     void receive(const config_delta& delta) {
         if (deltas_to_drop > 0) {
             --deltas_to_drop;
@@ -232,14 +241,7 @@
     for (const auto& item : cases) {
         CAPTURE(item.name);
         service_cluster cluster;
-        const auto send_hello = [&] {
-            const discovery::host_hello hello{.host = {.name = "entry-1", .zone = "a"},
-                                              .config_revision = cluster.copy.revision()};
-            for (auto& service : cluster.services) {
-                service.receive_from_entry("entry-1", hello, cluster.now);
-            }
-        };
-        send_hello();
+        cluster.send_hellos();
         cluster.run_for(core::duration_ms{500});
         cluster.deltas = 0;
         cluster.deltas_to_drop = item.lost;
@@ -249,7 +251,7 @@
         for (int count = 0; count < 10; ++count) {
             cluster.run_for(core::duration_ms{100});
             if (cluster.copy.revision() > 0) {
-                send_hello();
+                cluster.send_hellos();
             }
         }
         CHECK(cluster.copy.numbered().version == 7);
@@ -262,15 +264,7 @@
 // of them: its link carried versions that were out of date, and other hosts counted as lost.
 TEST_CASE("an entry host that has not confirmed a change is sent only the newest one after it") {
     service_cluster cluster;
-    cluster.copy = applied_documents{};
-    const auto send_hello = [&] {
-        const discovery::host_hello hello{.host = {.name = "entry-1", .zone = "a"},
-                                          .config_revision = cluster.copy.revision()};
-        for (auto& service : cluster.services) {
-            service.receive_from_entry("entry-1", hello, cluster.now);
-        }
-    };
-    send_hello();
+    cluster.send_hellos();
     cluster.run_for(core::duration_ms{500});
     cluster.deltas = 0;
     constexpr std::uint64_t changes = 8;
@@ -283,7 +277,7 @@
     CHECK(cluster.edits.size() == changes);
     CHECK(cluster.deltas == 1);
     CHECK(cluster.copy.numbered().version == 1);
-    send_hello();
+    cluster.send_hellos();
     cluster.run_for(core::duration_ms{30});
     CHECK(cluster.deltas == 2);
     CHECK(cluster.copy.numbered().version == changes);
