--- a/bench/control/control_bench.cpp
+++ b/bench/control/control_bench.cpp
@@ -62,7 +62,9 @@
     check(create_cluster(storage, 9));
     std::vector<log_entry> entries;
     for (std::uint64_t version = 0; version < count; ++version) {
-        entries.push_back({{1, version + 2}, make_edit(version)});
+        auto& entry = entries.emplace_back();
+        entry.position = {1, version + 2};
+        entry.payload = make_edit(version);
     }
     check(storage.append(entries));
     check(storage.sync());
@@ -77,7 +79,9 @@
         std::vector<log_entry> entries;
         for (std::int64_t count = 0; count < state.range(0); ++count) {
             ++index;
-            entries.push_back({{1, index}, make_edit(index)});
+            auto& entry = entries.emplace_back();
+            entry.position = {1, index};
+            entry.payload = make_edit(index);
         }
         check(storage.append(entries));
         check(storage.sync());
--- a/src/hawthornstall/control/applied_documents.cpp
+++ b/src/hawthornstall/control/applied_documents.cpp
@@ -22,6 +22,9 @@
     if (delta.numbered && delta.numbered->version > numbered_.version) {
         numbered_ = *delta.numbered;
     }
+    if (delta.drains && delta.drains->revision > drains_.revision) {
+        drains_ = *delta.drains;
+    }
     // A delta that starts after the copy's revision leaves a gap, which the next digest reveals.
     if (delta.from_revision <= revision_) {
         revision_ = std::max(revision_, delta.to_revision);
--- a/src/hawthornstall/control/applied_documents.hpp
+++ b/src/hawthornstall/control/applied_documents.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-/// An entry host's copy of the service documents.
+/// An entry host's copy of the configuration: service documents, numbered configuration and drained
+/// zones.
 
 #include "hawthornstall/control/document_messages.hpp"
 
@@ -47,6 +48,9 @@
     /// The numbered configuration that this host uses; version 0 before the first.
     [[nodiscard]] const numbered_config& numbered() const noexcept { return numbered_; }
 
+    /// The drained zones that this host knows of.
+    [[nodiscard]] const zone_drains& drains() const noexcept { return drains_; }
+
     /// Revision up to which every change is applied.
     [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
 
@@ -59,7 +63,7 @@
     /// The copy as one delta from revision 0, for the data folder. Apply it after a restart; it is
     /// unconfirmed until the next digest.
     [[nodiscard]] config_delta as_full_delta() const {
-        return {0, revision_, documents_, numbered_};
+        return {0, revision_, documents_, numbered_, drains_};
     }
 
 private:
@@ -67,6 +71,7 @@
     std::uint64_t revision_ = 0;
     std::vector<core::service_document> documents_;
     numbered_config numbered_;
+    zone_drains drains_;
     std::optional<core::time_ms> last_confirmed_;
 };
 
--- a/src/hawthornstall/control/config_replica.hpp
+++ b/src/hawthornstall/control/config_replica.hpp
@@ -17,9 +17,11 @@
 /// Requirements of a replica on the state machine that it replicates.
 template <class Store>
 concept replicated_store = requires(Store store, const Store& reader, const edit_command& edit,
-                                    const numbered_config& config, store_snapshot snapshot) {
+                                    const numbered_config& config, const zone_drain_order& order,
+                                    store_snapshot snapshot) {
     { store.apply(edit) } -> std::same_as<edit_answer>;
     { store.apply(config) } -> std::same_as<edit_answer>;
+    { store.apply(order) } -> std::same_as<edit_answer>;
     { reader.snapshot() } -> std::same_as<store_snapshot>;
     { reader.revision() } -> std::convertible_to<std::uint64_t>;
     store.restore(std::move(snapshot));
@@ -29,7 +31,8 @@
 struct change_outcome {
     std::uint64_t token = 0;
     /// Empty when leadership was lost: the change may still be accepted. Resending an edit with the
-    /// same identifier, or a numbered configuration with the same version, is safe.
+    /// same identifier, a numbered configuration with the same version, or an order to drain a zone
+    /// is safe.
     std::optional<edit_answer> answer;
 
     bool operator==(const change_outcome&) const = default;
@@ -126,6 +129,8 @@
             answer = store_.apply(*edit);
         } else if (const auto* const config = std::get_if<numbered_config>(&entry.payload)) {
             answer = store_.apply(*config);
+        } else if (const auto* const order = std::get_if<zone_drain_order>(&entry.payload)) {
+            answer = store_.apply(*order);
         }
         const auto pending = pending_.find(entry.position.index);
         if (pending != pending_.end()) {
--- a/src/hawthornstall/control/consensus_types.hpp
+++ b/src/hawthornstall/control/consensus_types.hpp
@@ -5,6 +5,7 @@
 #include "hawthornstall/control/document_edit.hpp"
 #include "hawthornstall/control/document_store.hpp"
 #include "hawthornstall/control/numbered_config.hpp"
+#include "hawthornstall/control/zone_drains.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -44,7 +45,8 @@
 
 /// Content of a log entry. The order of the alternatives is part of the file and wire formats, so
 /// new ones must be added at the end.
-using entry_payload = std::variant<no_operation, edit_command, member_set, numbered_config>;
+using entry_payload =
+    std::variant<no_operation, edit_command, member_set, numbered_config, zone_drain_order>;
 
 /// Position in the log. Term 0 with index 0 is the position before the first entry.
 struct log_position {
--- a/src/hawthornstall/control/control_gateway.hpp
+++ b/src/hawthornstall/control/control_gateway.hpp
@@ -11,6 +11,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <functional>
@@ -21,6 +22,7 @@
 #include <string_view>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace hawthornstall::control {
 
@@ -35,6 +37,11 @@
     numbered_config config;
 };
 
+/// Drains a zone or ends its drain.
+struct zone_drain_request {
+    zone_drain_order order;
+};
+
 /// Reads the current numbered configuration.
 struct config_read_request {};
 
@@ -50,16 +57,18 @@
 };
 
 using gateway_request = std::variant<gateway_answer, config_put_request, config_read_request,
-                                     announce_request, leave_request>;
+                                     announce_request, leave_request, zone_drain_request>;
 
 /// Requirements of the gateway on a protocol: pure functions between HTTP and the types above.
 template <class Codec>
 concept gateway_codec = requires(Codec codec, const net::http_request& request,
-                                 const local_put_result& put, const local_read_result& read) {
+                                 const local_put_result& put, const local_read_result& read,
+                                 std::string_view zone) {
     { codec.decode(request) } -> std::same_as<gateway_request>;
     { codec.answer_to(put) } -> std::same_as<gateway_answer>;
     { codec.answer_to(read) } -> std::same_as<gateway_answer>;
     { codec.accepted() } -> std::same_as<gateway_answer>;
+    { codec.unknown_zone(zone) } -> std::same_as<gateway_answer>;
 };
 
 /// Time limit of a request. Operators switch to another host after a second without an answer.
@@ -76,12 +85,14 @@
     using observer = std::function<void(const gateway_event&)>;
 
     /// Requests count up from `last_earlier_number` + 1: the control host that leads can answer a
-    /// request after the process that forwarded it has ended.
+    /// request after the process that forwarded it has ended. `zones` are the availability zones
+    /// that may be drained; an empty list allows all.
     control_gateway(std::string address, net::http_server_limits limits,
                     std::uint64_t last_earlier_number,
-                    runtime::address<control_logic::message> logic, observer report)
+                    runtime::address<control_logic::message> logic, observer report,
+                    std::vector<std::string> zones = {})
         : address_(std::move(address)), limits_(limits), last_earlier_number_(last_earlier_number),
-          logic_(std::move(logic)), report_(std::move(report)) {}
+          logic_(std::move(logic)), report_(std::move(report)), zones_(std::move(zones)) {}
 
     /// Throws std::runtime_error when the address cannot be listened on.
     void attach(runtime::event_loop& loop) {
@@ -95,9 +106,7 @@
     }
 
     void handle(message input) {
-        std::visit(
-            [this](const auto& content) { finish(content.number, codec_.answer_to(content)); },
-            input);
+        std::visit([this](auto& content) { process(std::move(content)); }, input);
     }
 
 private:
@@ -106,6 +115,16 @@
         gateway_answer timeout_answer;
     };
 
+    void process(const local_put_result& result) {
+        finish(result.number, codec_.answer_to(result));
+    }
+
+    void process(const local_read_result& result) {
+        finish(result.number, codec_.answer_to(result));
+    }
+
+    void process(zones_changed change) { zones_ = std::move(change.zones); }
+
     void process(const net::http_request& request) {
         auto decoded = codec_.decode(request);
         const auto number = last_earlier_number_ + request.number;
@@ -126,6 +145,19 @@
         forward(number, local_config_put{number, std::move(request.config)});
     }
 
+    void serve(std::uint64_t number, zone_drain_request request) {
+        const auto& order = request.order;
+        if (!zones_.empty() && std::ranges::find(zones_, order.zone) == zones_.end()) {
+            serve(number, codec_.unknown_zone(order.zone));
+            return;
+        }
+        add_pending(number, codec_.answer_to(local_put_result{number, std::nullopt}));
+        report_(
+            {.what = "zone_drain_put",
+             .detail = "zone " + order.zone + (order.drained ? ", drain" : ", end of the drain")});
+        forward(number, local_zone_drain_put{number, std::move(request.order)});
+    }
+
     void serve(std::uint64_t number, const config_read_request& /*request*/) {
         add_pending(number, codec_.answer_to(local_read_result{number, std::nullopt}));
         forward(number, local_config_read{number});
@@ -192,6 +224,7 @@
     std::uint64_t last_earlier_number_;
     runtime::address<control_logic::message> logic_;
     observer report_;
+    std::vector<std::string> zones_; ///< That may be drained; empty: all.
     Codec codec_;
     std::unique_ptr<net::http_server> server_;
     std::map<std::uint64_t, pending_request> pending_; ///< Ordered by arrival and so by deadline.
--- a/src/hawthornstall/control/control_logic.cpp
+++ b/src/hawthornstall/control/control_logic.cpp
@@ -1,6 +1,7 @@
 #include "hawthornstall/control/control_logic.hpp"
 
 #include "hawthornstall/control/control_message_layouts.hpp"
+#include "hawthornstall/control/zone_rows.hpp"
 #include "hawthornstall/core/error.hpp"
 #include "hawthornstall/wire/codec.hpp"
 
@@ -94,6 +95,17 @@
         core::ms_clock::now());
 }
 
+void control_logic::process(local_zone_drain_put input) {
+    if (service_ == nullptr) {
+        send_to_gateway(edit_reply{.number = input.number, .answer = std::nullopt});
+        return;
+    }
+    input.order.host = options_.self.name;
+    service_->receive_from_entry(
+        options_.self.name, zone_drain_put{.number = input.number, .order = std::move(input.order)},
+        core::ms_clock::now());
+}
+
 void control_logic::process(const local_config_read& input) {
     if (service_ == nullptr) {
         send_to_gateway(numbered_config_reply{.number = input.number, .config = std::nullopt});
@@ -129,6 +141,8 @@
         return detail::target_rows(relay_.directory());
     case status::status_kind::rollout:
         return config_rows();
+    case status::status_kind::zones:
+        return zone_rows();
     case status::status_kind::jobs:
         break;
     }
@@ -163,6 +177,12 @@
              .revision = store.revision()}};
 }
 
+std::vector<status::zone_row> control_logic::zone_rows() const {
+    return service_ == nullptr
+               ? std::vector<status::zone_row>{}
+               : control::zone_rows(options_.zones, service_->replica().store().drains());
+}
+
 /// Passes replies to this host's own requests to the gateway, which made them.
 void control_logic::send_to_gateway(control_to_entry message) {
     if (gateway_ == nullptr) {
--- a/src/hawthornstall/control/control_logic.hpp
+++ b/src/hawthornstall/control/control_logic.hpp
@@ -33,6 +33,7 @@
     /// Suffix ":port" that identifies the names of control hosts. Empty when all hosts are listed
     /// above.
     std::string control_port_suffix;
+    std::vector<std::string> zones; ///< Availability zones of the deployment, for operators.
 };
 
 /// Request of the gateway to adopt a numbered configuration.
@@ -41,6 +42,12 @@
     numbered_config config;
 };
 
+/// Request of the gateway to drain a zone or to end its drain.
+struct local_zone_drain_put {
+    std::uint64_t number = 0;
+    zone_drain_order order;
+};
+
 /// Request of the gateway for the current numbered configuration.
 struct local_config_read {
     std::uint64_t number = 0;
@@ -62,7 +69,7 @@
     std::vector<std::string> hosts;
 };
 
-/// Reply to local_config_put; without an answer the outcome is unknown.
+/// Reply to local_config_put and local_zone_drain_put; without an answer the outcome is unknown.
 struct local_put_result {
     std::uint64_t number = 0;
     std::optional<edit_answer> answer{};
@@ -74,8 +81,13 @@
     std::optional<numbered_config> config{};
 };
 
+/// The availability zones named by changed settings.
+struct zones_changed {
+    std::vector<std::string> zones;
+};
+
 /// Message to the gateway, the task that serves operators and targets.
-using gateway_message = std::variant<local_put_result, local_read_result>;
+using gateway_message = std::variant<local_put_result, local_read_result, zones_changed>;
 
 /// Event of control_logic that is logged and counted.
 struct control_event {
@@ -98,8 +110,9 @@
 /// but announcements of targets are still relayed.
 class control_logic {
 public:
-    using message = std::variant<local_config_put, local_config_read, local_announcement,
-                                 local_departure, control_hosts_changed, status::status_query>;
+    using message =
+        std::variant<local_config_put, local_config_read, local_announcement, local_departure,
+                     control_hosts_changed, status::status_query, local_zone_drain_put>;
 
     /// Receives events on this task's thread.
     using observer = std::function<void(const control_event&)>;
@@ -113,6 +126,7 @@
 
 private:
     void process(local_config_put input);
+    void process(local_zone_drain_put input);
     void process(const local_config_read& input);
     void process(const local_announcement& input);
     void process(const local_departure& input);
@@ -121,6 +135,7 @@
     [[nodiscard]] status::status_rows rows_of(status::status_kind kind) const;
     [[nodiscard]] std::vector<status::host_row> host_rows() const;
     [[nodiscard]] std::vector<status::config_row> config_rows() const;
+    [[nodiscard]] std::vector<status::zone_row> zone_rows() const;
     void send_to_gateway(control_to_entry message);
     void send_to_control(const std::string& host, const control_to_control& message);
     [[nodiscard]] bool is_control_host(std::string_view name) const;
--- a/src/hawthornstall/control/control_messages.hpp
+++ b/src/hawthornstall/control/control_messages.hpp
@@ -13,7 +13,9 @@
 /// A request of an entry host that only the leader can answer.
 struct forwarded_request {
     std::string entry_host;
-    std::variant<edit_request, audit_request, numbered_config_put, numbered_config_read> request;
+    std::variant<edit_request, audit_request, numbered_config_put, numbered_config_read,
+                 zone_drain_put>
+        request;
 };
 
 /// The leader's reply, for the entry host whose request was forwarded.
--- a/src/hawthornstall/control/control_service.hpp
+++ b/src/hawthornstall/control/control_service.hpp
@@ -168,6 +168,10 @@
         start_change(std::move(from), request.number, std::move(request.config));
     }
 
+    void start(requester from, zone_drain_put request, core::time_ms /*now*/) {
+        start_change(std::move(from), request.number, std::move(request.order));
+    }
+
     void start_change(requester from, std::uint64_t number, entry_payload change) {
         const auto token = ++last_token_;
         if (replica_.submit(std::move(change), token)) {
@@ -197,6 +201,10 @@
         reply(from, edit_reply{.number = request.number, .answer = std::nullopt});
     }
 
+    void reject(const requester& from, const zone_drain_put& request) {
+        reply(from, edit_reply{.number = request.number, .answer = std::nullopt});
+    }
+
     /// An audit request has no reply for an unknown outcome; the entry host asks again.
     void reject(const requester& /*from*/, const audit_request& /*request*/) {}
 
--- a/src/hawthornstall/control/document_edit.hpp
+++ b/src/hawthornstall/control/document_edit.hpp
@@ -43,7 +43,8 @@
 };
 
 /// Audit record of one accepted change. `edit_id`, `service` and `actor_team` are empty for a
-/// numbered configuration.
+/// numbered configuration. For a drained zone `service` says what was ordered, and the versions are
+/// the revisions at which the set of drained zones changed.
 struct audit_record {
     std::uint64_t revision = 0; ///< Position among all accepted changes; the first one is 1.
     std::string edit_id;
--- a/src/hawthornstall/control/document_layouts.hpp
+++ b/src/hawthornstall/control/document_layouts.hpp
@@ -92,12 +92,28 @@
         std::tuple{&type::version, &type::content, &type::actor, &type::wall_time, &type::host};
 };
 
+template <> struct layout<control::zone_drains> {
+    using type = control::zone_drains;
+    static constexpr auto members = std::tuple{&type::revision, &type::zones};
+};
+
+template <> struct layout<control::zone_drain_order> {
+    using type = control::zone_drain_order;
+    static constexpr auto members =
+        std::tuple{&type::zone, &type::drained, &type::actor, &type::wall_time, &type::host};
+};
+
 template <> struct layout<control::store_snapshot> {
     using type = control::store_snapshot;
-    static constexpr auto members =
-        std::tuple{&type::revision, &type::documents,           &type::changed_at_revision,
-                   &type::audit,    &type::accepted_edits,      &type::refused_edits,
-                   &type::numbered, &type::numbered_at_revision};
+    static constexpr auto members = std::tuple{&type::revision,
+                                               &type::documents,
+                                               &type::changed_at_revision,
+                                               &type::audit,
+                                               &type::accepted_edits,
+                                               &type::refused_edits,
+                                               &type::numbered,
+                                               &type::numbered_at_revision,
+                                               &type::drains};
 };
 
 template <> struct layout<control::config_subscribe> {
@@ -106,8 +122,8 @@
 
 template <> struct layout<control::config_delta> {
     using type = control::config_delta;
-    static constexpr auto members =
-        std::tuple{&type::from_revision, &type::to_revision, &type::documents, &type::numbered};
+    static constexpr auto members = std::tuple{&type::from_revision, &type::to_revision,
+                                               &type::documents, &type::numbered, &type::drains};
 };
 
 template <> struct layout<control::config_digest> {
--- a/src/hawthornstall/control/document_messages.hpp
+++ b/src/hawthornstall/control/document_messages.hpp
@@ -4,6 +4,7 @@
 /// deltas and digests.
 
 #include "hawthornstall/control/numbered_config.hpp"
+#include "hawthornstall/control/zone_drains.hpp"
 #include "hawthornstall/core/ms_clock.hpp"
 #include "hawthornstall/core/service_document.hpp"
 
@@ -28,6 +29,7 @@
     std::uint64_t to_revision = 0;
     std::vector<core::service_document> documents;
     std::optional<numbered_config> numbered{}; ///< Present when it changed after `from_revision`.
+    std::optional<zone_drains> drains{};       ///< Present when they changed after `from_revision`.
 
     bool operator==(const config_delta&) const = default;
 };
--- a/src/hawthornstall/control/document_store.cpp
+++ b/src/hawthornstall/control/document_store.cpp
@@ -68,6 +68,35 @@
     return {.result = edit_result::accepted, .version = numbered_.version};
 }
 
+edit_answer document_store::apply(const zone_drain_order& order) {
+    if (order.zone.empty() || order.zone.size() > bounds_.max_name_bytes) {
+        return {.result = edit_result::invalid, .version = drains_.revision};
+    }
+    const auto position = std::ranges::lower_bound(drains_.zones, order.zone);
+    if (drains_.contains(order.zone) == order.drained) {
+        return {.result = edit_result::accepted, .version = drains_.revision};
+    }
+    if (order.drained && drains_.zones.size() >= bounds_.max_drained_zones) {
+        return {.result = edit_result::store_full, .version = drains_.revision};
+    }
+    if (order.drained) {
+        drains_.zones.insert(position, order.zone);
+    } else {
+        drains_.zones.erase(position);
+    }
+    const auto earlier = std::exchange(drains_.revision, ++revision_);
+    append_audit({.revision = revision_,
+                  .edit_id = {},
+                  .service = (order.drained ? "drain-zone " : "undrain-zone ") + order.zone,
+                  .actor = order.actor,
+                  .actor_team = {},
+                  .from_version = earlier,
+                  .to_version = revision_,
+                  .wall_time = order.wall_time,
+                  .host = order.host});
+    return {.result = edit_result::accepted, .version = revision_};
+}
+
 edit_answer document_store::evaluate(const edit_command& edit) const {
     const auto* const current = find(edit.service);
     const std::uint64_t version = current == nullptr ? 0 : current->version;
@@ -163,8 +192,7 @@
 }
 
 config_delta document_store::delta_after(std::uint64_t revision) const {
-    config_delta delta{
-        .from_revision = revision, .to_revision = revision_, .documents = {}, .numbered = {}};
+    config_delta delta{.from_revision = revision, .to_revision = revision_, .documents = {}};
     for (std::size_t position = 0; position < documents_.size(); ++position) {
         if (changed_at_revision_[position] > revision) {
             delta.documents.push_back(documents_[position]);
@@ -173,6 +201,9 @@
     if (numbered_at_revision_ > revision) {
         delta.numbered = numbered_;
     }
+    if (drains_.revision > revision) {
+        delta.drains = drains_;
+    }
     return delta;
 }
 
@@ -184,7 +215,8 @@
             .accepted_edits = accepted_edits_.entries(),
             .refused_edits = refused_edits_.entries(),
             .numbered = numbered_,
-            .numbered_at_revision = numbered_at_revision_};
+            .numbered_at_revision = numbered_at_revision_,
+            .drains = drains_};
 }
 
 void document_store::restore(store_snapshot snapshot) {
@@ -196,6 +228,7 @@
     refused_edits_.restore(snapshot.refused_edits);
     numbered_ = std::move(snapshot.numbered);
     numbered_at_revision_ = snapshot.numbered_at_revision;
+    drains_ = std::move(snapshot.drains);
     total_bytes_ = 0;
     for (const auto& document : documents_) {
         total_bytes_ += document_bytes(document);
--- a/src/hawthornstall/control/document_store.hpp
+++ b/src/hawthornstall/control/document_store.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-/// Deterministic state machine over the configuration log: service documents and audit trail.
+/// Deterministic state machine over the configuration log: service documents, numbered
+/// configuration, drained zones and audit trail.
 
 #include "hawthornstall/control/answered_edit_cache.hpp"
 #include "hawthornstall/control/document_edit.hpp"
@@ -29,6 +30,8 @@
     /// large number of refused edits cannot evict accepted ones. 20,000 is more than two days of
     /// the design scale's 8,900 changes a day.
     std::size_t max_answered_edits = 20'000;
+    /// Zones that can be drained at the same time.
+    std::size_t max_drained_zones = 1'024;
     /// Latest audit records kept. With the bounds above, a snapshot is below 50 MB and so below
     /// wire::max_message_bytes: 30,000 records of at most 0.7 KB, 40,000 answers of at most 0.3 KB
     /// and 16 MiB of documents.
@@ -45,6 +48,7 @@
     std::vector<answered_edit> refused_edits;       ///< Oldest first.
     numbered_config numbered;
     std::uint64_t numbered_at_revision = 0;
+    zone_drains drains{}; ///< Missing in snapshots of builds without drains.
 
     bool operator==(const store_snapshot&) const = default;
 };
@@ -68,6 +72,14 @@
     /// also when `config` is not adopted, and holds the version that is current afterwards.
     edit_answer apply(const numbered_config& config);
 
+    /// Drains a zone or ends its drain. A repeated order changes nothing and is accepted again. The
+    /// answer holds the revision of the last change; `store_full` when too many zones are drained,
+    /// `invalid` for a name that is too long.
+    edit_answer apply(const zone_drain_order& order);
+
+    /// The drained zones.
+    [[nodiscard]] const zone_drains& drains() const noexcept { return drains_; }
+
     /// The current numbered configuration; version 0 before the first.
     [[nodiscard]] const numbered_config& numbered() const noexcept { return numbered_; }
 
@@ -77,7 +89,7 @@
     /// All documents, sorted by service.
     [[nodiscard]] std::span<const core::service_document> documents() const { return documents_; }
 
-    /// Number of changes accepted so far: edits and numbered configurations.
+    /// Number of changes accepted so far: edits, numbered configurations and drains.
     [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
 
     /// Audit records after `revision` that are still kept, oldest first, at most `limit`.
@@ -109,6 +121,7 @@
     std::vector<audit_record> audit_;
     numbered_config numbered_;
     std::uint64_t numbered_at_revision_ = 0;
+    zone_drains drains_;
     answered_edit_cache accepted_edits_;
     answered_edit_cache refused_edits_;
 };
--- a/src/hawthornstall/control/entry_message_layouts.hpp
+++ b/src/hawthornstall/control/entry_message_layouts.hpp
@@ -23,6 +23,11 @@
         std::tuple{&control::numbered_config_put::number, &control::numbered_config_put::config};
 };
 
+template <> struct layout<control::zone_drain_put> {
+    static constexpr auto members =
+        std::tuple{&control::zone_drain_put::number, &control::zone_drain_put::order};
+};
+
 template <> struct layout<control::numbered_config_read> {
     static constexpr auto members = std::tuple{&control::numbered_config_read::number};
 };
--- a/src/hawthornstall/control/entry_messages.hpp
+++ b/src/hawthornstall/control/entry_messages.hpp
@@ -21,9 +21,9 @@
     edit_command edit;
 };
 
-/// Reply to edit_request and numbered_config_put. Without an answer the outcome is unknown,
-/// and the request has to be sent again. This is safe with the same edit identifier or the same
-/// version.
+/// Reply to edit_request, numbered_config_put and zone_drain_put. Without an answer the outcome is
+/// unknown, and the request has to be sent again. This is safe with the same edit identifier or the
+/// same version.
 struct edit_reply {
     std::uint64_t number = 0;
     std::optional<edit_answer> answer{};
@@ -48,6 +48,12 @@
     numbered_config config;
 };
 
+/// Asks for a zone to be drained, or for the end of its drain; idempotent.
+struct zone_drain_put {
+    std::uint64_t number = 0; ///< Assigned by the sender; repeated in the reply.
+    zone_drain_order order;
+};
+
 /// Asks for the current numbered configuration, confirmed by a quorum.
 struct numbered_config_read {
     std::uint64_t number = 0;
@@ -62,7 +68,7 @@
 /// Message from an entry host. The order of the alternatives is part of the wire format.
 using entry_to_control =
     std::variant<config_subscribe, edit_request, audit_request, numbered_config_put,
-                 numbered_config_read, discovery::host_hello>;
+                 numbered_config_read, discovery::host_hello, zone_drain_put>;
 
 /// Reply or notification from a control host.
 using control_to_entry =
--- a/src/hawthornstall/control/entry_size.cpp
+++ b/src/hawthornstall/control/entry_size.cpp
@@ -28,6 +28,10 @@
     return config.content.size() + config.actor.size() + config.host.size();
 }
 
+std::size_t payload_bytes(const zone_drain_order& order) {
+    return order.zone.size() + order.actor.size() + order.host.size();
+}
+
 } // namespace detail
 
 std::size_t entry_bytes(const log_entry& entry) {
--- a/src/hawthornstall/discovery/check_target.hpp
+++ b/src/hawthornstall/discovery/check_target.hpp
@@ -28,6 +28,9 @@
 /// Largest sequence number: 2^53 - 1, the largest whole number that every JSON writer can express.
 constexpr std::uint64_t max_sequence = 9'007'199'254'740'991;
 
+/// Longest time for which a target can announce that it is slow after its start: a day.
+constexpr core::duration_ms max_cold_time{86'400'000};
+
 /// Largest capacity of one target: a million cores, a petabyte and a million accelerators. Sums
 /// over all targets of a deployment stay within 64 bits.
 constexpr core::resources max_capacity{
--- a/src/hawthornstall/discovery/layouts.hpp
+++ b/src/hawthornstall/discovery/layouts.hpp
@@ -15,9 +15,9 @@
 
 template <> struct layout<discovery::target_record> {
     using type = discovery::target_record;
-    static constexpr auto members =
-        std::tuple{&type::id,   &type::incarnation, &type::sequence, &type::service, &type::address,
-                   &type::zone, &type::labels,      &type::capacity, &type::draining};
+    static constexpr auto members = std::tuple{
+        &type::id,   &type::incarnation, &type::sequence, &type::service,  &type::address,
+        &type::zone, &type::labels,      &type::capacity, &type::draining, &type::cold_for};
 };
 
 template <> struct layout<discovery::host_record> {
--- a/src/hawthornstall/discovery/target_record.hpp
+++ b/src/hawthornstall/discovery/target_record.hpp
@@ -23,6 +23,8 @@
     std::vector<std::string> labels{};
     core::resources capacity{};
     bool draining = false; ///< The target will leave soon and takes no new work.
+    /// How much longer runs take longer than usual, since the target has just started.
+    core::duration_ms cold_for{};
 
     bool operator==(const target_record&) const = default;
 
--- a/src/hawthornstall/monitoring/monitoring_server.cpp
+++ b/src/hawthornstall/monitoring/monitoring_server.cpp
@@ -40,8 +40,8 @@
     const auto kind = status::kind_of(request.path);
     if (request.path != metrics_path && !kind) {
         send(request.number, detail::http_not_found, detail::plain_text,
-             "metrics are at /metrics, the state at /v1/hosts, /v1/targets, /v1/rollout and "
-             "/v1/jobs\n");
+             "metrics are at /metrics, the state at /v1/hosts, /v1/targets, /v1/rollout, "
+             "/v1/jobs and /v1/zones\n");
     } else if (request.method != "GET") {
         send(request.number, detail::http_method_not_allowed, detail::plain_text, "use GET\n");
     } else if (kind) {
--- a/src/hawthornstall/runs/capacity_pool.cpp
+++ b/src/hawthornstall/runs/capacity_pool.cpp
@@ -78,6 +78,7 @@
             changed.ejected_until = {};
         }
         changed.target = target;
+        changed.drained = drained_zones_.contains(target.zone);
         changed.holder = holder;
     });
     join_groups(item);
@@ -97,7 +98,7 @@
 }
 
 void capacity_pool::add_usable_cpu(const pooled_target& item, std::int64_t sign) {
-    if (item.target.usable) {
+    if (item.is_usable()) {
         usable_cpu_[item.target.service] += sign * item.target.capacity.cpu_millis;
     }
 }
@@ -123,6 +124,15 @@
     first_report_.reset();
 }
 
+void capacity_pool::set_drained_zones(std::span<const std::string> zones) {
+    drained_zones_ = {zones.begin(), zones.end()};
+    for (auto& [id, item] : targets_) {
+        update(item, [&](pooled_target& changed) {
+            changed.drained = drained_zones_.contains(changed.target.zone);
+        });
+    }
+}
+
 void capacity_pool::remove_holder(std::string_view holder) {
     const auto held = by_holder_.find(holder);
     const std::vector<const pooled_target*> items{held.begin(), held.end()};
@@ -181,7 +191,7 @@
     }
     const auto cpu_millis = request.step->resources.cpu_millis;
     const auto rank = [&](const pooled_target& item) {
-        return std::tuple{item.slowness_class, detail::slots_left(item, cpu_millis),
+        return std::tuple{item.order_class(), detail::slots_left(item, cpu_millis),
                           detail::holder_rank(item.holder, request), item.free().cpu_millis,
                           std::string_view{item.target.id}};
     };
@@ -202,8 +212,7 @@
                                                         Accept accept) const {
     const auto cpu_millis = request.step->resources.cpu_millis;
     const auto is_equivalent = [&](const pooled_target& item) {
-        return item.slowness_class == first.slowness_class &&
-               item.free().cpu_millis >= cpu_millis &&
+        return item.order_class() == first.order_class() && item.free().cpu_millis >= cpu_millis &&
                detail::slots_left(item, cpu_millis) == detail::slots_left(first, cpu_millis);
     };
     const auto rank = [](const pooled_target& item) {
@@ -262,7 +271,8 @@
     auto& item = found->second;
     if (end == run_end::done) {
         item.health.on_success();
-        if (estimated.count() > 0) {
+        // A cold target soon runs at its usual speed again.
+        if (estimated.count() > 0 && !item.target.cold) {
             const auto ratio = std::min(static_cast<double>(ran_for.count()) /
                                             static_cast<double>(estimated.count()),
                                         detail::max_slowness_sample);
@@ -295,10 +305,10 @@
     std::size_t with_free_resources = 0;
     std::size_t at_limit = 0;
     for (const auto& [id, item] : targets_) {
-        usable += item.target.usable ? 1 : 0;
+        usable += item.is_usable() ? 1 : 0;
         ejected += item.health.max_in_flight() == 0 ? 1 : 0;
         at_limit += item.running >= item.health.max_in_flight() ? 1 : 0;
-        with_free_resources += item.target.usable && item.free().holds(resources) ? 1 : 0;
+        with_free_resources += item.is_usable() && item.free().holds(resources) ? 1 : 0;
     }
     return std::to_string(targets_.size()) + " targets known, " + std::to_string(usable) +
            " usable, " + std::to_string(with_free_resources) + " with room, " +
@@ -310,7 +320,7 @@
     speed_usage usage;
     for (const auto& [id, item] : targets_) {
         auto& used = usage[item.slowness_class];
-        used.targets += item.target.usable ? 1 : 0;
+        used.targets += item.is_usable() ? 1 : 0;
         used.runs += item.running;
     }
     return usage;
--- a/src/hawthornstall/runs/capacity_pool.hpp
+++ b/src/hawthornstall/runs/capacity_pool.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -49,6 +50,9 @@
     /// Removes the targets of a lease holder that cannot be reached.
     void remove_holder(std::string_view holder);
 
+    /// Uses no target of `zones`, and those of all other zones again.
+    void set_drained_zones(std::span<const std::string> zones);
+
     /// The best target with enough free resources at `now`, if there is one. Other targets come
     /// before the one to avoid, then those near the task's data, then faster ones, then those that
     /// can take the fewest further tasks of this size. Among these, a target of the front end or of
@@ -116,6 +120,7 @@
     void update(pooled_target& item, Change change);
 
     std::map<std::string, pooled_target, std::less<>> targets_;
+    std::set<std::string, std::less<>> drained_zones_;
     free_target_order order_;
     target_groups by_holder_;
     target_groups by_label_;
--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -109,6 +109,8 @@
         return target_rows(logic_.directory(), logic_.holder(), logic_.hosts());
     case status::status_kind::jobs:
         return logic_.scheduler().rows(now());
+    case status::status_kind::zones:
+        return control::zone_rows(options_.zones, documents_.drains());
     case status::status_kind::rollout:
         break;
     }
--- a/src/hawthornstall/runs/detail/dispatch_host_messages.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_messages.hpp
@@ -18,6 +18,7 @@
         // The new revision tells control hosts that have not sent the change yet to skip it.
         send_hellos();
     }
+    apply_drains(host);
     const auto& config = documents_.numbered();
     if (config.version <= routes_.version) {
         return;
@@ -38,6 +39,23 @@
     retry_early_requests(now());
 }
 
+/// Passes the drained zones on when they have changed.
+template <dispatch_codec Codec> void dispatch_host<Codec>::apply_drains(std::string_view host) {
+    const auto& drains = documents_.drains();
+    if (std::exchange(drains_revision_, drains.revision) == drains.revision) {
+        return;
+    }
+    logic_.set_drained_zones(drains.zones);
+    std::string zones;
+    for (const auto& zone : drains.zones) {
+        zones += (zones.empty() ? "" : " ") + zone;
+    }
+    report_({.name = "zone_drains_in_force",
+             .peer = std::string{host},
+             .detail = "drained zones: " + (zones.empty() ? "none" : zones) + ", revision " +
+                       std::to_string(drains.revision)});
+}
+
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::on_control_message(std::string_view host,
                                               const control::config_digest& digest) {
--- a/src/hawthornstall/runs/dispatch_host.hpp
+++ b/src/hawthornstall/runs/dispatch_host.hpp
@@ -5,6 +5,7 @@
 
 #include "hawthornstall/control/applied_documents.hpp"
 #include "hawthornstall/control/entry_messages.hpp"
+#include "hawthornstall/control/zone_rows.hpp"
 #include "hawthornstall/net/http_client.hpp"
 #include "hawthornstall/net/http_server.hpp"
 #include "hawthornstall/net/peer_links.hpp"
@@ -89,6 +90,7 @@
     void receive_from_control(std::string_view host, std::string_view body);
     void on_link_change(std::string_view peer, net::link_change change);
     void on_control_message(std::string_view host, const control::config_delta& delta);
+    void apply_drains(std::string_view host);
     void on_control_message(std::string_view host, const control::config_digest& digest);
     void on_control_message(std::string_view host, const discovery::host_list& list);
     void on_control_message(std::string_view host, const discovery::target_updates& updates);
@@ -118,6 +120,7 @@
     std::unique_ptr<net::http_client> client_;
 
     control::applied_documents documents_;
+    std::uint64_t drains_revision_ = 0; ///< Of the drained zones that `logic_` knows.
     route_table routes_;
     early_requests early_requests_;
     dispatch_logic logic_;
--- a/src/hawthornstall/runs/dispatch_logic.cpp
+++ b/src/hawthornstall/runs/dispatch_logic.cpp
@@ -199,6 +199,11 @@
     holder_.answered(call, answer, now);
 }
 
+void dispatch_logic::set_drained_zones(std::span<const std::string> zones) {
+    scheduler_.set_drained_zones(zones);
+    holder_.set_drained_zones(zones);
+}
+
 void dispatch_logic::leave(core::time_ms now) {
     hosts_.self().leaving = true;
     send_presence(now);
--- a/src/hawthornstall/runs/dispatch_logic.hpp
+++ b/src/hawthornstall/runs/dispatch_logic.hpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -80,6 +81,10 @@
     /// Takes the answer of a target to a call.
     void answered(const target_call& call, const call_answer& answer, core::time_ms now);
 
+    /// From now on nothing is started on the targets of `zones`, and on those of all other zones it
+    /// may be. Runs that are under way go on.
+    void set_drained_zones(std::span<const std::string> zones);
+
     /// Starts to leave: other hosts take over the scheduling and the targets.
     void leave(core::time_ms now);
 
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -121,11 +121,8 @@
 /// Time that the targets need for the work ahead of `job`, at most its deadline.
 core::duration_ms job_scheduler::expected_wait(const job_record& job) const {
     const auto queue = queues_.find(job.request.terms.service);
-    if (queue == queues_.end()) {
-        return core::duration_ms{0};
-    }
-    return detail::time_for(queue->second.pending.work_before(job),
-                            fillable_cpu_millis(job.request.terms.service),
+    const auto work = queue == queues_.end() ? 0 : queue->second.pending.work_before(job);
+    return detail::time_for(work, fillable_cpu_millis(job.request.terms.service),
                             job.request.terms.deadline);
 }
 
--- a/src/hawthornstall/runs/job_scheduler.hpp
+++ b/src/hawthornstall/runs/job_scheduler.hpp
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -56,6 +57,9 @@
     /// Replaces what is known about the targets of a lease holder.
     void report(const std::string& holder, const target_report& report, core::time_ms now);
 
+    /// Places no task on the targets of `zones`, and counts their capacity as unusable.
+    void set_drained_zones(std::span<const std::string> zones) { pool_.set_drained_zones(zones); }
+
     /// Drops the waiters and the targets of a lost host and ends the jobs that had a run there.
     void host_unreachable(std::string_view host, core::time_ms now);
 
--- a/src/hawthornstall/runs/run_layouts.hpp
+++ b/src/hawthornstall/runs/run_layouts.hpp
@@ -90,9 +90,9 @@
 
 template <> struct layout<runs::held_target> {
     using type = runs::held_target;
-    static constexpr auto members =
-        std::tuple{&type::id,     &type::incarnation, &type::service,        &type::zone,
-                   &type::labels, &type::capacity,    &type::used_by_others, &type::usable};
+    static constexpr auto members = std::tuple{
+        &type::id,       &type::incarnation,    &type::service, &type::zone, &type::labels,
+        &type::capacity, &type::used_by_others, &type::usable,  &type::cold};
 };
 
 template <> struct layout<runs::target_report> {
--- a/src/hawthornstall/runs/run_messages.hpp
+++ b/src/hawthornstall/runs/run_messages.hpp
@@ -91,6 +91,7 @@
     core::resources capacity{};
     core::resources used_by_others{}; ///< Used by runs of schedulers other than the receiver.
     bool usable = false;              ///< Whether new runs can be started.
+    bool cold = false; ///< Runs take longer than usual, since the target has just started.
 
     bool operator==(const held_target&) const = default;
 };
--- a/src/hawthornstall/runs/state_rows.cpp
+++ b/src/hawthornstall/runs/state_rows.cpp
@@ -52,8 +52,10 @@
             row.holder = hosts.self().host.name;
             row.token = session->token();
             row.runs = session->open_runs();
-            row.available = session->usable();
-            row.reason = session->reason_not_usable();
+            const bool drained = holder.is_drained(record);
+            row.available = session->usable() && !drained;
+            row.reason =
+                drained ? "its availability zone is drained" : session->reason_not_usable();
         } else {
             row.holder = detail::holder_of(record.id, hosts);
             row.available = !row.holder.empty() && !record.draining;
--- a/src/hawthornstall/runs/target_holder.cpp
+++ b/src/hawthornstall/runs/target_holder.cpp
@@ -38,6 +38,8 @@
 /// A scheduler that has started no run for this long gets no reports, unless it is the current one.
 constexpr core::duration_ms scheduler_expiry{5'000};
 
+constexpr std::string_view drained_reason = "the availability zone of the target is drained";
+
 } // namespace detail
 
 std::uint64_t fencing_tokens::next(std::string_view target, core::time_ms wall) {
@@ -74,6 +76,11 @@
         reject(key, reason);
         return;
     }
+    // The scheduler may have decided before it learned of the drain.
+    if (is_drained(found->second.session.record())) {
+        reject(key, detail::drained_reason);
+        return;
+    }
     found->second.session.start(front_end, message, now);
     collect_effects(found->second.session);
 }
@@ -266,14 +273,16 @@
     target_report report;
     for (const auto& [id, held] : sessions_) {
         const auto& record = held.session.record();
-        report.targets.push_back({.id = id,
-                                  .incarnation = record.incarnation,
-                                  .service = record.service,
-                                  .zone = record.zone,
-                                  .labels = record.labels,
-                                  .capacity = record.capacity,
-                                  .used_by_others = held.session.used_by_others(scheduler),
-                                  .usable = held.session.usable() && !held.released});
+        report.targets.push_back(
+            {.id = id,
+             .incarnation = record.incarnation,
+             .service = record.service,
+             .zone = record.zone,
+             .labels = record.labels,
+             .capacity = record.capacity,
+             .used_by_others = held.session.used_by_others(scheduler),
+             .usable = held.session.usable() && !held.released && !is_drained(record),
+             .cold = record.cold_for > core::duration_ms{0}});
     }
     auto& last = reports_[scheduler];
     if (last.report != report || now - last.sent >= detail::report_repeat_interval) {
--- a/src/hawthornstall/runs/target_holder.hpp
+++ b/src/hawthornstall/runs/target_holder.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -87,6 +88,16 @@
     /// Starts a run of `front_end` on a held target, or reports it as rejected.
     void start(const std::string& front_end, const start_run& message, core::time_ms now);
 
+    /// Rejects starts on the targets of `zones` from now on, and reports these as not usable.
+    void set_drained_zones(std::span<const std::string> zones) {
+        drained_zones_ = {zones.begin(), zones.end()};
+    }
+
+    /// Whether the zone of a target is drained.
+    [[nodiscard]] bool is_drained(const discovery::target_record& record) const {
+        return drained_zones_.contains(record.zone);
+    }
+
     /// Stops the runs of a submission of a front end. Their starts cannot arrive later: both come
     /// on the link from the front end, which keeps their order.
     void stop_submission_of(std::string_view front_end, const stop_submission& message,
@@ -154,6 +165,7 @@
     std::map<std::string, core::time_ms, std::less<>> retry_at_;   ///< Next claim, by target.
     std::map<std::string, core::time_ms, std::less<>> schedulers_; ///< Last start of each.
     std::map<run_key, core::time_ms> early_stops_;                 ///< Stops of unknown runs.
+    std::set<std::string, std::less<>> drained_zones_;
     std::set<std::string, std::less<>> lost_schedulers_; ///< Have not revoked their runs since.
     std::map<std::string, std::uint64_t, std::less<>> revoked_; ///< Last revoked key, by scheduler.
 
--- a/src/hawthornstall/runs/target_indexes.cpp
+++ b/src/hawthornstall/runs/target_indexes.cpp
@@ -3,21 +3,21 @@
 namespace hawthornstall::runs {
 
 void free_target_order::insert(const pooled_target& item) {
-    if (item.target.usable) {
-        services_[item.target.service][item.slowness_class].emplace(item.free().cpu_millis,
-                                                                    item.target.id, &item);
+    if (item.is_usable()) {
+        services_[item.target.service][item.order_class()].emplace(item.free().cpu_millis,
+                                                                   item.target.id, &item);
     }
 }
 
 void free_target_order::erase(const pooled_target& item) {
-    if (!item.target.usable) {
+    if (!item.is_usable()) {
         return;
     }
     auto& classes = services_[item.target.service];
-    auto& targets = classes[item.slowness_class];
+    auto& targets = classes[item.order_class()];
     targets.erase({item.free().cpu_millis, item.target.id, &item});
     if (targets.empty()) {
-        classes.erase(item.slowness_class);
+        classes.erase(item.order_class());
     }
 }
 
--- a/src/hawthornstall/settings/seeded_settings.cpp
+++ b/src/hawthornstall/settings/seeded_settings.cpp
@@ -10,6 +10,7 @@
 using enum presence;
 
 constexpr list_range seed_count_range{1, 64};
+constexpr list_range zone_count_range{0, 1'024};
 constexpr number_range port_range{1, 65'535, ""};
 constexpr number_range lease_time_range{100, 600'000, "ms"};
 constexpr number_range stop_time_range{1, 60'000, "ms"};
@@ -45,6 +46,7 @@
     fields.number("control_peer_port", required, port_range, settings.control_peer_port);
     fields.number("entry_peer_port", required, port_range, settings.entry_peer_port);
     read_seeds(fields, settings.seeds);
+    fields.texts("zones", optional, zone_count_range, name_rule, settings.zones);
     fields.flag("may_found", optional, settings.may_found);
     read_optional_address(fields, "caller_address", settings.caller_address);
     read_optional_address(fields, "readiness_address", settings.readiness_address);
--- a/src/hawthornstall/settings/seeded_settings.hpp
+++ b/src/hawthornstall/settings/seeded_settings.hpp
@@ -27,8 +27,9 @@
     std::uint16_t control_peer_port = 0;  ///< Peer port of every control host.
     std::uint16_t entry_peer_port = 0;    ///< Peer port of every entry host.
     std::vector<socket_address> seeds;    ///< Operator addresses of some control hosts.
-    bool may_found = false;               ///< Whether the host may create the cluster; true
-                                          ///< only at the first start of the whole system.
+    std::vector<std::string> zones; ///< Availability zones of the deployment; empty: not known.
+    bool may_found = false;         ///< Whether the host may create the cluster; true
+                                    ///< only at the first start of the whole system.
     std::optional<socket_address> caller_address;
     std::optional<socket_address> readiness_address;
     std::optional<socket_address> operator_address;
--- a/src/hawthornstall/status/status_body.cpp
+++ b/src/hawthornstall/status/status_body.cpp
@@ -16,6 +16,7 @@
     std::pair{std::string_view{"/v1/targets"}, status_kind::targets},
     std::pair{std::string_view{"/v1/rollout"}, status_kind::rollout},
     std::pair{std::string_view{"/v1/jobs"}, status_kind::jobs},
+    std::pair{std::string_view{"/v1/zones"}, status_kind::zones},
 };
 
 double to_cores(std::int64_t cpu_millis) {
@@ -68,6 +69,10 @@
             {"ending", row.ending}};
 }
 
+json encode(const zone_row& row) {
+    return {{"name", row.name}, {"drained", row.drained}, {"config_revision", row.revision}};
+}
+
 } // namespace
 } // namespace detail
 
--- a/src/hawthornstall/status/status_rows.hpp
+++ b/src/hawthornstall/status/status_rows.hpp
@@ -62,11 +62,19 @@
     bool ending = false;
 };
 
+/// An availability zone as seen by the queried process.
+struct zone_row {
+    std::string name{};
+    bool drained = false;       ///< Nothing is started on its targets.
+    std::uint64_t revision = 0; ///< Place in the configuration log of the last drain of any zone.
+};
+
 /// Kinds of rows that can be queried, in the order of the alternatives of status_rows.
-enum class status_kind : std::uint8_t { hosts, targets, rollout, jobs };
+enum class status_kind : std::uint8_t { hosts, targets, rollout, jobs, zones };
 
 /// Rows of one kind.
-using status_rows = std::variant<std::vector<host_row>, std::vector<target_row>,
-                                 std::vector<config_row>, std::vector<job_row>>;
+using status_rows =
+    std::variant<std::vector<host_row>, std::vector<target_row>, std::vector<config_row>,
+                 std::vector<job_row>, std::vector<zone_row>>;
 
 } // namespace hawthornstall::status
--- a/src/programs/hawthornstallctl/commands.cpp
+++ b/src/programs/hawthornstallctl/commands.cpp
@@ -6,6 +6,7 @@
 #include "hawthornstallctl/reply_report.hpp"
 #include "hawthornstallctl/row_table.hpp"
 #include "hawthornstallctl/trace_command.hpp"
+#include "hawthornstallctl/zone_command.hpp"
 
 #include <array>
 #include <ostream>
@@ -54,6 +55,8 @@
                                  table_column{"DONE", "done_tasks"},
                                  table_column{"RUNNING ON", "running_on"},
                                  table_column{"ENDING", "ending"}};
+constexpr std::array zone_columns{table_column{"ZONE", "name"}, table_column{"DRAINED", "drained"},
+                                  table_column{"REVISION", "config_revision"}};
 constexpr std::array shard_columns{
     table_column{"SERVICE", "service"},       table_column{"ZONE", "zone"},
     table_column{"SERVING", "serving"},       table_column{"QUORUM", "has_quorum"},
@@ -73,6 +76,7 @@
     row_command{"targets", "/v1/targets", target_columns, "known targets"},
     row_command{"jobs", "/v1/jobs", job_columns,
                 "jobs on leased targets that the asked host schedules"},
+    row_command{"zones", "/v1/zones", zone_columns, "availability zones and their drains"},
     row_command{"shards", "/v1/shards", shard_columns, "queues owned by the asked host"},
     row_command{"audit", "/v1/audit", audit_columns, "accepted edits"},
 };
@@ -152,6 +156,10 @@
         return run_edit(name == "create" ? edit_kind::create : edit_kind::change, arguments[1],
                         options, output);
     }
+    const bool drains_zone = name == "drain-zone";
+    if ((drains_zone || name == "undrain-zone") && arguments.size() == 2) {
+        return run_zone_drain(arguments[1], drains_zone, options, output);
+    }
     if (name == "show" && arguments.size() == 2) {
         return detail::show_document(arguments[1], options, output);
     }
@@ -169,16 +177,20 @@
                        "  edit <file>         changes a document, from the version it states\n"
                        "  validate <file>     checks a document without sending it\n"
                        "  show <service>      one service document\n"
-                       "  trace <id> <log>... lines about one request from the logs of all hosts\n";
+                       "  trace <id> <log>... lines about one request from the logs of all hosts\n"
+                       "  drain-zone <zone>   starts nothing more on the targets of a zone\n"
+                       "  undrain-zone <zone> uses the targets of a zone again\n";
     for (const auto& command : detail::row_commands) {
         constexpr std::size_t width = 20;
         text.append("  ").append(command.name);
         text.append(width - command.name.size(), ' ').append(command.description).append("\n");
     }
     return text +
-           "hosts, targets, rollout and jobs also take the metrics address of a process whose "
-           "targets "
-           "hold leases, of an entry or a control host\n"
+           "hosts, targets, rollout, jobs and zones also take the metrics address of a process "
+           "whose "
+           "targets hold leases, of an entry or a control host; drain-zone and undrain-zone take "
+           "the "
+           "operators' address of a control host\n"
            "exit codes: 0 done, 1 refused, 2 wrong command line or document, 3 no entry host "
            "reached, 4 answer lost (an edit may be in force), 5 another edit came first\n";
 }
--- a/tests/hawthornstall/control/control_gateway_test.cpp
+++ b/tests/hawthornstall/control/control_gateway_test.cpp
@@ -33,6 +33,7 @@
         return {.status = read.config ? success_status : unknown_status, .body = "{}"};
     }
     [[nodiscard]] gateway_answer accepted() const { return {.status = success_status, .body = ""}; }
+    [[nodiscard]] gateway_answer unknown_zone(std::string_view /*zone*/) const { return {}; }
 };
 
 /// A gateway with one client. The test takes the place of control_logic.
--- a/tests/hawthornstall/control/file_storage_test.cpp
+++ b/tests/hawthornstall/control/file_storage_test.cpp
@@ -23,7 +23,9 @@
 std::vector<log_entry> make_entries(std::uint64_t first, std::uint64_t count, std::uint64_t term) {
     std::vector<log_entry> entries;
     for (auto index = first; index < first + count; ++index) {
-        entries.push_back({{term, index}, make_edit("edit-" + std::to_string(index), index)});
+        auto& entry = entries.emplace_back();
+        entry.position = {term, index};
+        entry.payload = make_edit("edit-" + std::to_string(index), index);
     }
     return entries;
 }
--- a/tests/hawthornstall/settings/seeded_settings_test.cpp
+++ b/tests/hawthornstall/settings/seeded_settings_test.cpp
@@ -12,6 +12,7 @@
 const std::string valid_settings =
     R"({"name": "entry-1", "zone": "bilbao", "ip": "10.1.0.13", "cpu_share": 0.25,)"
     R"( "control_peer_port": 7720, "entry_peer_port": 7721, "seeds": ["10.1.0.16:8166"],)"
+    R"( "zones": ["bilbao", "oviedo"],)"
     R"( "caller_address": "10.1.0.13:8161", "readiness_address": "10.1.0.13:8167",)"
     R"( "longest_lease_ms": 1000, "stop_time_ms": 50, "resubmission_delay_ms": 1200, "shutdown_grace_s": 6})";
 
@@ -25,6 +26,7 @@
     CHECK(settings->seeds == std::vector<socket_address>{{"10.1.0.16", 8166}});
     CHECK(settings->caller_address == socket_address{"10.1.0.13", 8161});
     CHECK_FALSE(settings->operator_address.has_value());
+    CHECK(settings->zones == std::vector<std::string>{"bilbao", "oviedo"});
     CHECK_FALSE(settings->may_found);
     CHECK(settings->longest_lease == core::duration_ms{1'000});
     CHECK(settings->resubmission_delay == core::duration_ms{1'200});
@@ -48,6 +50,8 @@
         invalid_value_case{R"("control_peer_port": 7720)", R"("control_peer_port": 70000)",
                            "$.control_peer_port: expected a whole number from 1 to 65535, found "
                            "70000"},
+        invalid_value_case{R"("oviedo")", R"("bilbao")", "$.zones"},
+        invalid_value_case{R"("oviedo")", R"("ovi edo")", "$.zones[1]"},
         invalid_value_case{R"("longest_lease_ms": 1000)", R"("longest_lease_ms": 0)",
                            "$.longest_lease_ms"},
         invalid_value_case{R"("resubmission_delay_ms": 1200)", R"("resubmission_delay_ms": -1)",
--- a/tests/hawthornstall/status/status_body_test.cpp
+++ b/tests/hawthornstall/status/status_body_test.cpp
@@ -30,6 +30,8 @@
         body_case{"/v1/jobs", std::vector<job_row>{{.id = "j", .running_on = {"w\"1", "w\xff"}}},
                   R"("running_on":["w\"1","w)"},
         body_case{"/v1/jobs", std::vector<job_row>{}, "[]"},
+        body_case{"/v1/zones", std::vector<zone_row>{{.name = "bilbao", .drained = true}},
+                  R"("drained":true)"},
     };
     for (const auto& item : cases) {
         CAPTURE(item.path);
--- a/tests/platform/announcement_codec_test.cpp
+++ b/tests/platform/announcement_codec_test.cpp
@@ -38,6 +38,10 @@
     const auto draining = decode_announcement("i-7", with_replaced(R"("ready")", R"("draining")"));
     REQUIRE(draining.ok());
     CHECK(draining->draining);
+    const auto cold = decode_announcement(
+        "i-7", with_replaced(R"("cold_remaining_ms":0)", R"("cold_remaining_ms":1200.5)"));
+    REQUIRE(cold.ok());
+    CHECK(cold->cold_for == core::duration_ms{1'201});
 }
 
 // Guards against a malformed heartbeat, such as one from another sender, that registers a target or
@@ -50,6 +54,7 @@
         with_replaced(R"("address":"10.128.0.9:8080")", R"("address":7)"),
         with_replaced(R"("labels":["a","r1-3"])", R"("labels":[1])"),
         with_replaced(R"("cpu":16000)", R"("cpu":-1)"),
+        with_replaced(R"("cold_remaining_ms":0)", R"("cold_remaining_ms":"0")"),
         with_replaced(R"("born":1700000000000)", R"("born":1.5)"),
         std::string{"\xff\xfe"},
         std::string{"[]"},
--- a/tests/platform/control_codec_test.cpp
+++ b/tests/platform/control_codec_test.cpp
@@ -52,6 +52,45 @@
     }
 }
 
+struct zone_call_case {
+    std::string_view name;
+    std::string_view method;
+    std::string_view path;
+    std::string_view zone; ///< Empty: the call is refused with 404.
+    bool drained = false;
+};
+
+// Guards against an order for a zone that is not understood, or is taken for its opposite.
+TEST_CASE("an order to drain a zone is read in the names of the platform and in the product's") {
+    constexpr std::array cases{
+        zone_call_case{"drain", "POST", "/api/evacuation/port-spain/start", "port-spain", true},
+        zone_call_case{"end", "POST", "/api/evacuation/port-spain/end", "port-spain", false},
+        zone_call_case{"own drain", "POST", "/v1/zones/bilbao/drain", "bilbao", true},
+        zone_call_case{"own end", "POST", "/v1/zones/bilbao/undrain", "bilbao", false},
+        zone_call_case{"a zone named like an order", "POST", "/api/evacuation/start/end", "start",
+                       false},
+        zone_call_case{"no zone", "POST", "/api/evacuation//start", ""},
+        zone_call_case{"zone with a slash", "POST", "/api/evacuation/a/b/start", ""},
+        zone_call_case{"unknown order", "POST", "/api/evacuation/bilbao/pause", ""},
+        zone_call_case{"other method", "GET", "/api/evacuation/bilbao/start", ""},
+    };
+    for (const auto& item : cases) {
+        CAPTURE(item.name);
+        net::http_request request;
+        request.method = item.method;
+        request.path = item.path;
+        const auto decoded = control_codec::decode(request);
+        const auto* const drain = std::get_if<control::zone_drain_request>(&decoded);
+        REQUIRE((drain != nullptr) == !item.zone.empty());
+        if (drain != nullptr) {
+            CHECK(drain->order.zone == item.zone);
+            CHECK(drain->order.drained == item.drained);
+        } else {
+            CHECK(std::get<control::gateway_answer>(decoded).status == 404);
+        }
+    }
+}
+
 struct name_case {
     std::string_view description;
     std::string name; ///< Of the first route, which has no timeout.
--- a/tests/programs/hawthornstallctl/commands_test.cpp
+++ b/tests/programs/hawthornstallctl/commands_test.cpp
@@ -296,6 +296,73 @@
     }
 }
 
+struct zone_case {
+    std::string name;
+    std::vector<std::string> arguments;
+    std::vector<scripted_answer> script;
+    exit_code code;
+    std::string path;
+    std::size_t requests;
+    std::string expected_text;
+};
+
+// Guards against an order that is sent to the wrong zone or given up after one lost answer, and
+// against an exit code that tells a script that a refused order is in force.
+TEST_CASE("a zone is drained and used again by one order each") {
+    const scripted_answer accepted{200, "{}"};
+    const std::array cases{
+        zone_case{"drain",
+                  {"drain-zone", "bilbao"},
+                  {accepted},
+                  exit_code::ok,
+                  "/v1/zones/bilbao/drain",
+                  1,
+                  "zone bilbao is drained"},
+        zone_case{"undrain",
+                  {"undrain-zone", "bilbao"},
+                  {accepted},
+                  exit_code::ok,
+                  "/v1/zones/bilbao/undrain",
+                  1,
+                  "zone bilbao is in use"},
+        zone_case{"no quorum at first",
+                  {"drain-zone", "bilbao"},
+                  {{503, "{}"}, accepted},
+                  exit_code::ok,
+                  "/v1/zones/bilbao/drain",
+                  2,
+                  "is drained"},
+        zone_case{"answers lost",
+                  {"drain-zone", "bilbao"},
+                  {{0, ""}},
+                  exit_code::unknown,
+                  "/v1/zones/bilbao/drain",
+                  3,
+                  "Run the same command again"},
+        zone_case{"unknown zone",
+                  {"drain-zone", "x"},
+                  {{400, "{}"}},
+                  exit_code::refused,
+                  "/v1/zones/x/drain",
+                  1,
+                  "next: correct"},
+        zone_case{
+            "missing zone", {"drain-zone"}, {accepted}, exit_code::usage, "", 0, "exit codes:"},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        const auto run = run_against(test.script, test.arguments, {});
+        CHECK(run.code == test.code);
+        CHECK(run.received.size() == test.requests);
+        for (const auto& request : run.received) {
+            CHECK(request.method == "POST");
+            CHECK(request.path == test.path);
+        }
+        CAPTURE(run.err);
+        CHECK((run.out + run.err).find(test.expected_text) != std::string::npos);
+    }
+}
+
 struct local_case {
     std::string document;
     exit_code code;
