Reserve targets for waiting tasks, forecast waits and spread returning callers

Cause: a waiting task that fits nowhere held back only tasks of its size or larger, so that smaller ones took each gap as it appeared; jobs with long objectives were admitted although work that arrives later and is due earlier would overtake them; all refused callers were told to come back after one second. Change: end_forecast says when runs end, reservations which targets are kept for the first waiting tasks and who may use them meanwhile (setting placement: fit, reserve or backfill; fit is the default and the former behaviour). wait_forecast counts the work that arrives later and goes first. retry_schedule offers each coming second to no more work than its free capacity can do.

--- a/src/hawthornstall/runs/capacity_pool.cpp
+++ b/src/hawthornstall/runs/capacity_pool.cpp
@@ -23,6 +23,15 @@
 /// All lease holders report to a new scheduler within this time after the first report.
 constexpr core::duration_ms report_grace{1'000};
 
+/// From the grant of a run to its end at the scheduler, beside the run itself: calls and messages.
+constexpr core::duration_ms message_time{10};
+
+/// Expected time from the grant of a task to its end.
+core::duration_ms duration_on(const pooled_target& item, const job_step& step) {
+    const auto run = item.slowness * static_cast<double>(step.estimated.count());
+    return message_time + core::duration_ms{static_cast<core::duration_ms::rep>(run)};
+}
+
 bool has_label(const held_target& target, std::string_view label) {
     return label.empty() || std::ranges::find(target.labels, label) != target.labels.end();
 }
@@ -158,7 +167,67 @@
     return item.can_accept(request.step->resources) && now >= item.ejected_until &&
            target.service == request.service &&
            detail::has_label(target, request.step->required_label) &&
-           std::ranges::find(request.excluded, target.id) == request.excluded.end();
+           std::ranges::find(request.excluded, target.id) == request.excluded.end() &&
+           (request.reserved == nullptr || target.id == request.own_target ||
+            request.reserved->allows(target.id, request.step->resources,
+                                     now + detail::duration_on(item, *request.step),
+                                     request.policy));
+}
+
+std::optional<forecast_fit> capacity_pool::fit_on(const pooled_target& item,
+                                                  const placement_request& request,
+                                                  const end_forecast& ends, core::time_ms now) {
+    const auto& target = item.target;
+    const auto& wanted = request.step->resources;
+    const bool is_possible =
+        item.is_usable() && now >= item.ejected_until && item.health.max_in_flight() > 0 &&
+        target.service == request.service && target.capacity.holds(wanted) &&
+        detail::has_label(target, request.step->required_label) &&
+        std::ranges::find(request.excluded, target.id) == request.excluded.end();
+    if (!is_possible) {
+        return std::nullopt;
+    }
+    const auto at = ends.fits_at(target.id, item.free(), wanted, now);
+    if (!at) {
+        return std::nullopt;
+    }
+    return forecast_fit{.target = target.id,
+                        .at = *at,
+                        .beside = item.free() + ends.freed_by(target.id, *at, now) - wanted};
+}
+
+std::optional<forecast_fit> capacity_pool::fit_on(std::string_view target,
+                                                  const placement_request& request,
+                                                  const end_forecast& ends,
+                                                  core::time_ms now) const {
+    const auto found = targets_.find(target);
+    return found == targets_.end() ? std::nullopt : fit_on(found->second, request, ends, now);
+}
+
+std::optional<forecast_fit> capacity_pool::earliest_fit(const placement_request& request,
+                                                        const end_forecast& ends,
+                                                        core::time_ms now) const {
+    std::optional<forecast_fit> best;
+    int best_class = 0;
+    for (const auto& [id, item] : targets_) {
+        if (request.reserved != nullptr && request.reserved->is_reserved(id)) {
+            continue;
+        }
+        auto fit = fit_on(item, request, ends, now);
+        if (fit &&
+            (!best || std::tuple{fit->at, item.order_class()} < std::tuple{best->at, best_class})) {
+            best = std::move(fit);
+            best_class = item.order_class();
+        }
+    }
+    return best;
+}
+
+core::duration_ms capacity_pool::expected_duration(std::string_view target,
+                                                   const job_step& step) const {
+    const auto found = targets_.find(target);
+    return found == targets_.end() ? detail::message_time + step.estimated
+                                   : detail::duration_on(found->second, step);
 }
 
 std::optional<placement> capacity_pool::pick(const placement_request& request, core::time_ms now) {
--- a/src/hawthornstall/runs/capacity_pool.hpp
+++ b/src/hawthornstall/runs/capacity_pool.hpp
@@ -2,9 +2,11 @@
 
 /// Capacity and health of the targets of all lease holders, as one scheduler sees them.
 
+#include "hawthornstall/runs/end_forecast.hpp"
 #include "hawthornstall/runs/job.hpp"
 #include "hawthornstall/runs/placement_statistics.hpp"
 #include "hawthornstall/runs/pooled_target.hpp"
+#include "hawthornstall/runs/reservations.hpp"
 #include "hawthornstall/runs/run_messages.hpp"
 #include "hawthornstall/runs/target_indexes.hpp"
 
@@ -33,6 +35,17 @@
     std::string_view avoid{}; ///< Target of the task's earlier run, used only as the last choice.
     std::string_view front_end{}; ///< Host that sends the start messages of the job.
     std::span<const std::string_view> job_holders{}; ///< Lease holders of the job's other runs.
+    /// Reservations of other tasks that restrict this one; null: none do.
+    const reservations* reserved = nullptr;
+    placement_policy policy = placement_policy::fit;
+    std::string_view own_target{}; ///< Target that is reserved for this task.
+};
+
+/// A target on which a task is forecast to fit.
+struct forecast_fit {
+    std::string target{};
+    core::time_ms at{};
+    core::resources beside{}; ///< Expected to be free at that time beside the task.
 };
 
 /// Chooses targets for tasks and tracks the capacity and health of the targets. Does no I/O. The
@@ -62,6 +75,23 @@
     [[nodiscard]] std::optional<placement> pick(const placement_request& request,
                                                 core::time_ms now);
 
+    /// The target on which a task that fits nowhere now is forecast to fit first, among those that
+    /// are not reserved for another task; empty if there is none.
+    [[nodiscard]] std::optional<forecast_fit> earliest_fit(const placement_request& request,
+                                                           const end_forecast& ends,
+                                                           core::time_ms now) const;
+
+    /// The same for one target only.
+    [[nodiscard]] std::optional<forecast_fit> fit_on(std::string_view target,
+                                                     const placement_request& request,
+                                                     const end_forecast& ends,
+                                                     core::time_ms now) const;
+
+    /// How long a task of `step` is expected to take on a target, from its grant to its end at the
+    /// scheduler.
+    [[nodiscard]] core::duration_ms expected_duration(std::string_view target,
+                                                      const job_step& step) const;
+
     /// How many targets pick() has looked at since the pool was created.
     [[nodiscard]] std::uint64_t targets_examined() const noexcept { return targets_examined_; }
 
@@ -101,6 +131,10 @@
 private:
     [[nodiscard]] bool is_eligible(const pooled_target& item, const placement_request& request,
                                    core::time_ms now);
+    [[nodiscard]] static std::optional<forecast_fit> fit_on(const pooled_target& item,
+                                                            const placement_request& request,
+                                                            const end_forecast& ends,
+                                                            core::time_ms now);
     template <std::predicate<const pooled_target&> Accept>
     [[nodiscard]] const pooled_target* pick_in_rack(const placement_request& request,
                                                     Accept accept) const;
--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -34,7 +34,7 @@
 dispatch_host<Codec>::dispatch_host(dispatch_options options, observer report)
     : options_(std::move(options)), report_(std::move(report)),
       logic_(options_.host, options_.bounds, options_.self.incarnation, options_.host_bits,
-             core::ms_clock::now()),
+             core::ms_clock::now(), options_.placement),
       tick_delay_(detail::tick_interval) {}
 
 template <dispatch_codec Codec> void dispatch_host<Codec>::attach(runtime::event_loop& loop) {
--- a/src/hawthornstall/runs/dispatch_logic.cpp
+++ b/src/hawthornstall/runs/dispatch_logic.cpp
@@ -42,10 +42,10 @@
 
 dispatch_logic::dispatch_logic(const discovery::host_record& host, run_bounds bounds,
                                std::uint64_t incarnation, std::uint64_t host_bits,
-                               core::time_ms now)
+                               core::time_ms now, placement_policy policy)
     : hosts_({.host = host, .leaving = false, .held_targets = {}}),
       front_end_(core::last_earlier_number(incarnation), now),
-      scheduler_(core::last_earlier_number(incarnation)), holder_(bounds, host_bits, now) {}
+      scheduler_(core::last_earlier_number(incarnation), policy), holder_(bounds, host_bits, now) {}
 
 void dispatch_logic::deliver(const std::string& from, run_message message, core::time_ms now) {
     std::visit([&](auto& content) { on_message(from, std::move(content), now); }, message);
--- a/src/hawthornstall/runs/dispatch_logic.hpp
+++ b/src/hawthornstall/runs/dispatch_logic.hpp
@@ -48,7 +48,8 @@
 public:
     /// `incarnation` is that of the process; `host_bits` make its fencing tokens unique.
     dispatch_logic(const discovery::host_record& host, run_bounds bounds, std::uint64_t incarnation,
-                   std::uint64_t host_bits, core::time_ms now);
+                   std::uint64_t host_bits, core::time_ms now,
+                   placement_policy policy = placement_policy::fit);
 
     /// Takes a message of another entry host.
     template <peer_liveness Links>
--- a/src/hawthornstall/runs/dispatch_options.hpp
+++ b/src/hawthornstall/runs/dispatch_options.hpp
@@ -6,6 +6,7 @@
 #include "hawthornstall/discovery/host_record.hpp"
 #include "hawthornstall/net/http_server.hpp"
 #include "hawthornstall/net/peer_links.hpp"
+#include "hawthornstall/runs/reservations.hpp"
 #include "hawthornstall/runs/run_types.hpp"
 
 #include <cstdint>
@@ -25,6 +26,7 @@
     std::vector<std::string> control_hosts{}; ///< Names of those to connect to first.
     std::string control_port_suffix{};        ///< ":port" at the end of control host names.
     run_bounds bounds;
+    placement_policy placement = placement_policy::fit;
     std::uint64_t host_bits = 0; ///< Make this host's fencing tokens differ from all others.
     core::duration_ms shutdown_grace{6'000}; ///< Time limit of an orderly shutdown.
 };
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -10,9 +10,6 @@
 /// target beside its tasks is too small for another one.
 constexpr double fillable_share = 0.8;
 
-/// Refused callers are told to wait at least this long before they submit the job again.
-constexpr core::duration_ms min_retry_after{1'000};
-
 using phase = task_record::phase;
 
 /// Time that `cpu_millis` thousandths of a core need for `work`, but at most `limit`.
@@ -55,6 +52,7 @@
     }
     auto& queue = queues_[job.request.terms.service];
     queue.arrivals.add(job.pending_work, now);
+    queue.arrivals_by_objective.add(job.due - job.arrived, job.pending_work, now);
     queue.pending.update(job, now);
 }
 
@@ -96,7 +94,7 @@
     if (is_infeasible(job, now)) {
         return "the deadline would pass before the end";
     }
-    if (is_infeasible(job, now + expected_wait(job))) {
+    if (is_infeasible(job, now + expected_wait(job, now))) {
         return "the queue is longer than the deadline";
     }
     return {};
@@ -118,12 +116,31 @@
     return static_cast<double>(pool_.usable_cpu_millis(service)) * detail::fillable_share;
 }
 
-/// Time that the targets need for the work ahead of `job`, at most its deadline.
-core::duration_ms job_scheduler::expected_wait(const job_record& job) const {
+/// Time that the targets need for the work that goes before `job`, now or later, at most its
+/// deadline.
+core::duration_ms job_scheduler::expected_wait(const job_record& job, core::time_ms now) const {
+    wait_question question{.cpu_millis = fillable_cpu_millis(job.request.terms.service),
+                           .time_until_due = job.due - now,
+                           .longest = job.request.terms.deadline};
     const auto queue = queues_.find(job.request.terms.service);
-    const auto work = queue == queues_.end() ? 0 : queue->second.pending.work_before(job);
-    return detail::time_for(work, fillable_cpu_millis(job.request.terms.service),
-                            job.request.terms.deadline);
+    if (queue == queues_.end()) {
+        return forecast_wait(question, {});
+    }
+    question.work_ahead = queue->second.pending.work_before(job);
+    return forecast_wait(question, queue->second.arrivals_by_objective.rates(now));
+}
+
+/// When the caller of a refused job is told to come back.
+core::duration_ms job_scheduler::retry_delay(const job_record& job, core::time_ms now) {
+    if (!knows_capacity(now)) {
+        return retry_schedule::shortest;
+    }
+    const auto& service = job.request.terms.service;
+    auto& queue = queues_[service];
+    const free_capacity capacity{.cpu_millis =
+                                     fillable_cpu_millis(service) - queue.arrivals.cpu_millis(now),
+                                 .pending_work = queue.pending.pending_work()};
+    return queue.retries.invite(job.pending_work, capacity, now);
 }
 
 /// A late job waits for all other pending jobs and for those that arrive in the meantime.
@@ -171,6 +188,7 @@
     auto& job = jobs_.at(run->second.job);
     auto& task = job.tasks.at(run->second.task);
     runs_.erase(run);
+    ends_.ended(task.target, message.key);
     const auto& step = job.request.steps[task.step];
     pool_.release(task.target, step.resources);
     if (message.end == run_end::done) {
@@ -227,6 +245,7 @@
         for (auto& task : job.tasks) {
             if (task.state == detail::phase::running && task.holder == host) {
                 runs_.erase(task.key);
+                ends_.ended(task.target, task.key);
                 set_state(job, task, detail::phase::pending);
                 lost_run = true;
             }
@@ -289,13 +308,12 @@
 
 void job_scheduler::answer(const job_record& job, core::time_ms now) {
     const bool is_refused = job.result == job_result::refused;
+    const auto retry_after = is_refused ? retry_delay(job, now) : core::duration_ms{};
     for (const auto& waiter : job.waiters) {
-        effects_.messages.push_back(
-            {waiter.host,
-             job_ended{.number = waiter.number,
-                       .result = job.result,
-                       .retry_after = is_refused ? detail::min_retry_after : core::duration_ms{},
-                       .reason = job.reason}});
+        effects_.messages.push_back({waiter.host, job_ended{.number = waiter.number,
+                                                            .result = job.result,
+                                                            .retry_after = retry_after,
+                                                            .reason = job.reason}});
     }
     effects_.events.push_back(
         {"job_ended", job.request.id, std::string{to_string(job.result)}, now - job.arrived});
--- a/src/hawthornstall/runs/job_scheduler.hpp
+++ b/src/hawthornstall/runs/job_scheduler.hpp
@@ -7,7 +7,9 @@
 #include "hawthornstall/runs/job_record.hpp"
 #include "hawthornstall/runs/pending_jobs.hpp"
 #include "hawthornstall/runs/placement_statistics.hpp"
+#include "hawthornstall/runs/retry_schedule.hpp"
 #include "hawthornstall/runs/run_messages.hpp"
+#include "hawthornstall/runs/wait_forecast.hpp"
 #include "hawthornstall/runs/work_rate.hpp"
 #include "hawthornstall/status/status_rows.hpp"
 
@@ -41,7 +43,9 @@
 public:
     /// Run keys count up from `first_key` + 1. `first_key` must be higher than all keys of earlier
     /// processes of this host, since lease holders remember keys for a while.
-    explicit job_scheduler(std::uint64_t first_key = 0) : last_key_(first_key) {}
+    explicit job_scheduler(std::uint64_t first_key = 0,
+                           placement_policy policy = placement_policy::fit)
+        : policy_(policy), last_key_(first_key) {}
 
     /// Queues a job of the front end on `host`, or refuses it at once if it cannot be served. A job
     /// whose id is known already gets one more waiter instead of a second execution, in place of an
@@ -101,24 +105,45 @@
         core::resources resources{};
     };
 
-    /// Pending jobs of one service and the rate at which their work arrives.
+    /// Pending jobs of one service, the rate at which their work arrives, and the targets that are
+    /// reserved for them.
     struct service_queue {
         pending_jobs pending{};
         work_rate arrivals{};
+        arrival_mix arrivals_by_objective{};
+        retry_schedule retries{};
+        reservations reserved{};
+    };
+
+    /// State of one round of placement of one service.
+    struct placement_round {
+        std::vector<unmet_request> unmet{};
+        bool is_restricted = false; ///< A task before has a reservation.
+        std::size_t blocked = 0;    ///< Tasks that only reservations have kept from a target.
     };
 
     [[nodiscard]] bool knows_capacity(core::time_ms now) const;
     [[nodiscard]] bool is_infeasible(const job_record& job, core::time_ms now) const;
     [[nodiscard]] double fillable_cpu_millis(std::string_view service) const;
-    [[nodiscard]] core::duration_ms expected_wait(const job_record& job) const;
+    [[nodiscard]] core::duration_ms expected_wait(const job_record& job, core::time_ms now) const;
+    [[nodiscard]] core::duration_ms retry_delay(const job_record& job, core::time_ms now);
     [[nodiscard]] core::duration_ms expected_wait_when_late(const job_record& job,
                                                             core::time_ms now) const;
     [[nodiscard]] std::string_view reason_to_refuse(const job_record& job, core::time_ms now) const;
     [[nodiscard]] pending_jobs& queue_of(const job_record& job);
     void review(job_record& job, core::time_ms now);
-    void place_jobs(std::string_view service, pending_jobs& queue, core::time_ms now);
-    void place_tasks(job_record& job, std::vector<unmet_request>& unmet, core::time_ms now);
-    [[nodiscard]] bool place_task(job_record& job, std::size_t index, core::time_ms now);
+    void place_jobs(std::string_view service, service_queue& queue, core::time_ms now);
+    void place_tasks(job_record& job, service_queue& queue, placement_round& round,
+                     core::time_ms now);
+    void note_unmet(const job_record& job, std::size_t index, service_queue& queue,
+                    placement_round& round, core::time_ms now);
+    void reserve_target(const job_record& job, std::size_t index, service_queue& queue,
+                        core::time_ms now);
+    [[nodiscard]] bool place_task(job_record& job, std::size_t index, service_queue& queue,
+                                  const placement_round& round, core::time_ms now);
+    void start_task(job_record& job, std::size_t index, placement&& chosen, service_queue& queue,
+                    core::time_ms now);
+    [[nodiscard]] std::string describe_reservations();
     void stop_overdue(core::time_ms now);
     void set_state(job_record& job, task_record& task, task_record::phase state);
     [[nodiscard]] std::vector<std::string> targets_at_step_limit(const job_record& job,
@@ -132,7 +157,9 @@
     void remove_waiter(job_record& job, const job_waiter& waiter, std::string_view reason,
                        core::time_ms now);
 
+    placement_policy policy_;
     capacity_pool pool_;
+    end_forecast ends_;
     std::map<std::string, job_record, std::less<>> jobs_; ///< By id.
     std::map<job_waiter, std::string> waiters_;           ///< Id of the job that each waits for.
     std::map<std::string, service_queue, std::less<>> queues_; ///< By service.
--- a/src/hawthornstall/runs/job_scheduler_placement.cpp
+++ b/src/hawthornstall/runs/job_scheduler_placement.cpp
@@ -18,6 +18,21 @@
 /// Interval between two searches for overdue runs.
 constexpr core::duration_ms overdue_interval{100};
 
+/// Waiting tasks that only reservations have kept from a target, after which a round of placement
+/// ends: in a burst thousands of tasks wait, and each try costs time.
+constexpr std::size_t max_blocked_tasks = 32;
+
+/// A reserved target that will be free this much later than forecast keeps its reservation.
+constexpr core::duration_ms accepted_delay{10};
+
+/// Most reservations of one service: a sixteenth of the tasks of the size that the targets hold, so
+/// that wrong forecasts leave little capacity unused.
+std::size_t max_reservations(std::int64_t usable_cpu_millis, const core::resources& wanted) {
+    constexpr std::int64_t share = 16;
+    const auto tasks = usable_cpu_millis / std::max<std::int64_t>(wanted.cpu_millis, 1);
+    return static_cast<std::size_t>(std::max<std::int64_t>(tasks / share, 1));
+}
+
 using phase = task_record::phase;
 
 /// The lease holders that the running tasks of a job depend on.
@@ -49,11 +64,14 @@
         while (auto* const job = queue.pending.due_review(now)) {
             review(*job, now);
         }
-        place_jobs(service, queue.pending, now);
+        place_jobs(service, queue, now);
     }
     if (statistics_.is_due(now)) {
-        effects_.events.push_back(
-            {"placement", {}, statistics_.take(pool_.usage(), pool_.targets_examined(), now), {}});
+        effects_.events.push_back({"placement",
+                                   {},
+                                   statistics_.take(pool_.usage(), pool_.targets_examined(), now) +
+                                       describe_reservations(),
+                                   {}});
     }
 }
 
@@ -77,28 +95,31 @@
 }
 
 /// Starts tasks in the order of their jobs until no target can take any pending task.
-void job_scheduler::place_jobs(std::string_view service, pending_jobs& queue, core::time_ms now) {
-    std::vector<unmet_request> unmet;
-    auto* job = queue.first();
+void job_scheduler::place_jobs(std::string_view service, service_queue& queue, core::time_ms now) {
+    placement_round round;
+    auto& pending = queue.pending;
+    auto* job = pending.first();
     while (job != nullptr) {
-        auto* const next = queue.after(*job);
-        const auto unmet_before = unmet.size();
+        auto* const next = pending.after(*job);
+        const auto unmet_before = round.unmet.size();
         const auto pending_before = job->pending_tasks;
-        place_tasks(*job, unmet, now);
+        place_tasks(*job, queue, round, now);
         if (job->pending_tasks != pending_before) {
-            queue.update(*job, now);
+            pending.update(*job, now);
         }
-        if (unmet.size() > unmet_before &&
-            !pool_.has_free_target(service, queue.smallest_request(), now)) {
-            return;
+        const bool is_full = round.unmet.size() > unmet_before &&
+                             !pool_.has_free_target(service, pending.smallest_request(), now);
+        if (is_full || round.blocked > detail::max_blocked_tasks) {
+            break;
         }
         job = next;
     }
+    queue.reserved.end_round();
 }
 
 /// Starts pending tasks of one job until one of them fits nowhere; resource requests that failed
-/// are added to `unmet`, and larger ones are not tried.
-void job_scheduler::place_tasks(job_record& job, std::vector<unmet_request>& unmet,
+/// are added to the round, and larger ones are not tried.
+void job_scheduler::place_tasks(job_record& job, service_queue& queue, placement_round& round,
                                 core::time_ms now) {
     for (std::size_t index = 0; index < job.tasks.size(); ++index) {
         const auto& task = job.tasks[index];
@@ -107,21 +128,87 @@
             continue;
         }
         const auto& step = job.request.steps[task.step];
-        const bool is_unmet = std::ranges::any_of(unmet, [&](const unmet_request& known) {
+        const bool is_unmet = std::ranges::any_of(round.unmet, [&](const unmet_request& known) {
             return step.resources.holds(known.resources) &&
                    (known.label.empty() || known.label == step.required_label);
         });
         if (is_unmet) {
+            reserve_target(job, index, queue, now);
+            return;
+        }
+        if (!place_task(job, index, queue, round, now)) {
+            note_unmet(job, index, queue, round, now);
             return;
         }
-        if (!place_task(job, index, now)) {
-            // A limit per target applies to this job alone: tasks of other jobs may still fit.
-            if (step.max_per_target == 0) {
-                unmet.push_back({step.required_label, step.resources});
-            }
+    }
+}
+
+/// Takes note that a task fits nowhere, or nowhere beside the reservations.
+void job_scheduler::note_unmet(const job_record& job, std::size_t index, service_queue& queue,
+                               placement_round& round, core::time_ms now) {
+    const auto& step = job.request.steps[job.tasks[index].step];
+    const auto& service = job.request.terms.service;
+    if (round.is_restricted && pool_.has_free_target(service, step.resources, now)) {
+        // A shorter task of this size may still end before a reserved start.
+        ++round.blocked;
+    } else if (step.max_per_target == 0) {
+        // A limit per target applies to this job alone: tasks of other jobs may still fit.
+        round.unmet.push_back({step.required_label, step.resources});
+    }
+    reserve_target(job, index, queue, now);
+    round.is_restricted = queue.reserved.size() > 0;
+}
+
+/// Reserves the target on which a waiting task is forecast to fit first, or keeps the one that the
+/// task has unless it will be free later than was forecast.
+void job_scheduler::reserve_target(const job_record& job, std::size_t index, service_queue& queue,
+                                   core::time_ms now) {
+    if (policy_ == placement_policy::fit) {
+        return;
+    }
+    const auto& step = job.request.steps[job.tasks[index].step];
+    const auto& service = job.request.terms.service;
+    const waiting_task task{job.request.id, index};
+    const auto excluded = targets_at_step_limit(job, job.tasks[index]);
+    const placement_request request{.service = service,
+                                    .step = &step,
+                                    .excluded = excluded,
+                                    .reserved = &queue.reserved,
+                                    .policy = policy_};
+    if (const auto* const earlier = queue.reserved.find(task)) {
+        const auto fit = pool_.fit_on(earlier->target, request, ends_, now);
+        if (fit && fit->at <= std::max(earlier->starts_at, now) + detail::accepted_delay) {
+            queue.reserved.keep(
+                task, {.target = fit->target, .starts_at = fit->at, .beside = fit->beside});
             return;
         }
+    } else if (queue.reserved.size() >=
+               detail::max_reservations(pool_.usable_cpu_millis(service), step.resources)) {
+        return;
+    }
+    if (auto fit = pool_.earliest_fit(request, ends_, now)) {
+        queue.reserved.make(
+            task, {.target = std::move(fit->target), .starts_at = fit->at, .beside = fit->beside});
+    }
+}
+
+std::string job_scheduler::describe_reservations() {
+    if (policy_ == placement_policy::fit) {
+        return {};
+    }
+    reservation_counts sum;
+    std::size_t held = 0;
+    for (auto& [service, queue] : queues_) {
+        const auto counts = queue.reserved.take_counts();
+        sum.made += counts.made;
+        sum.moved += counts.moved;
+        sum.used += counts.used;
+        sum.backfill += counts.backfill;
+        held += queue.reserved.size();
     }
+    return "; reservations: " + std::to_string(sum.made) + " made, " + std::to_string(sum.moved) +
+           " moved, " + std::to_string(sum.used) + " used, " + std::to_string(held) + " held, " +
+           std::to_string(sum.backfill) + " tasks beside them";
 }
 
 /// Targets that already run as many tasks of the step as its limit per target allows.
@@ -142,32 +229,52 @@
     return full;
 }
 
-bool job_scheduler::place_task(job_record& job, std::size_t index, core::time_ms now) {
+bool job_scheduler::place_task(job_record& job, std::size_t index, service_queue& queue,
+                               const placement_round& round, core::time_ms now) {
     auto& task = job.tasks[index];
     const auto& step = job.request.steps[task.step];
     const auto excluded = targets_at_step_limit(job, task);
     const auto holders = detail::holders_of_runs(job);
+    const auto* const own = queue.reserved.find({job.request.id, index});
     auto chosen = pool_.pick({.service = job.request.terms.service,
                               .step = &step,
                               .excluded = excluded,
                               .avoid = task.target,
                               .front_end = job.waiters.front().host,
-                              .job_holders = holders},
+                              .job_holders = holders,
+                              .reserved = round.is_restricted ? &queue.reserved : nullptr,
+                              .policy = policy_,
+                              .own_target = own == nullptr ? std::string_view{} : own->target},
                              now);
     if (!chosen) {
         return false;
     }
-    pool_.reserve(chosen->target, step.resources);
+    start_task(job, index, std::move(*chosen), queue, now);
+    return true;
+}
+
+void job_scheduler::start_task(job_record& job, std::size_t index, placement&& chosen,
+                               service_queue& queue, core::time_ms now) {
+    auto& task = job.tasks[index];
+    const auto& step = job.request.steps[task.step];
+    const auto duration = pool_.expected_duration(chosen.target, step);
+    const waiting_task waiting{job.request.id, index};
+    if (queue.reserved.find(waiting) != nullptr) {
+        queue.reserved.task_started(waiting, chosen.target);
+    }
+    queue.reserved.other_started(chosen.target, step.resources, now + duration);
+    pool_.reserve(chosen.target, step.resources);
     set_state(job, task, detail::phase::running);
     task.key = ++last_key_;
-    task.target = std::move(chosen->target);
-    task.holder = std::move(chosen->holder);
+    task.target = std::move(chosen.target);
+    task.holder = std::move(chosen.holder);
     task.granted_at = now;
     task.overdue_at = now + detail::overdue_time(task, step);
     statistics_.granted(now - job.arrived);
     ++task.last_run;
     job.started = true;
     runs_[task.key] = {.job = job.request.id, .task = index};
+    ends_.started(task.target, task.key, step.resources, now, duration);
     const auto& waiter = job.waiters.front();
     effects_.messages.push_back({waiter.host, grant_run{.number = waiter.number,
                                                         .key = task.key,
@@ -176,7 +283,6 @@
                                                         .step = task.step,
                                                         .index = task.index,
                                                         .run = task.last_run}});
-    return true;
 }
 
 /// Stops overdue runs, so that their tasks start again elsewhere with a longer time limit. A run
--- /dev/null
+++ b/src/hawthornstall/runs/reservations.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+/// Targets that are reserved for waiting tasks.
+
+#include "hawthornstall/core/ms_clock.hpp"
+#include "hawthornstall/core/resources.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace hawthornstall::runs {
+
+/// How waiting tasks that fit nowhere influence the placement of others.
+enum class placement_policy : std::uint8_t {
+    fit,      ///< Not at all: smaller tasks take each gap as it appears.
+    reserve,  ///< A target is kept free for the first of them, until they start.
+    backfill, ///< As reserve, but tasks that do not delay the reserved start may use the target.
+};
+
+/// Name of the policy in settings.
+[[nodiscard]] constexpr std::string_view to_string(placement_policy policy) noexcept {
+    switch (policy) {
+    case placement_policy::fit:
+        return "fit";
+    case placement_policy::reserve:
+        return "reserve";
+    case placement_policy::backfill:
+        break;
+    }
+    return "backfill";
+}
+
+/// A waiting task: the id of its job and its place among the tasks of the job.
+using waiting_task = std::pair<std::string, std::size_t>;
+
+/// A target that is reserved for a waiting task.
+struct reservation {
+    std::string target{};
+    core::time_ms starts_at{}; ///< When the task is expected to fit.
+    core::resources beside{};  ///< Expected to be free at that time beside the task.
+};
+
+/// Counts since the last take_counts().
+struct reservation_counts {
+    std::uint64_t made = 0;
+    std::uint64_t moved = 0;
+    std::uint64_t used = 0;     ///< The task started on the reserved target.
+    std::uint64_t backfill = 0; ///< Other tasks that were started on a reserved target.
+};
+
+/// The reservations of one service. In each round of placement the scheduler comes to the waiting
+/// tasks in the order of their jobs, and says with keep() or make() which of them still fit
+/// nowhere. The others lose their reservation at the end of the round. Does no I/O.
+class reservations {
+public:
+    /// The reservation of a task; null if there is none.
+    [[nodiscard]] const reservation* find(const waiting_task& task) const;
+
+    /// Whether a target is reserved.
+    [[nodiscard]] bool is_reserved(std::string_view target) const {
+        return by_target_.contains(target);
+    }
+
+    [[nodiscard]] std::size_t size() const noexcept { return by_task_.size(); }
+
+    /// Makes a reservation, or replaces that of the task.
+    void make(const waiting_task& task, reservation item);
+
+    /// The task still waits for its reserved target, which is now expected to take it as `item`
+    /// says.
+    void keep(const waiting_task& task, const reservation& item);
+
+    /// The task has started on `target`.
+    void task_started(const waiting_task& task, std::string_view target);
+
+    /// Ends the round: drops the reservations that were neither made nor kept in it.
+    void end_round();
+
+    /// Whether another task that would run until `ends_at` may start on a target. `policy` is
+    /// reserve or backfill.
+    [[nodiscard]] bool allows(std::string_view target, const core::resources& wanted,
+                              core::time_ms ends_at, placement_policy policy) const;
+
+    /// A task without a reservation has started on a target, reserved or not.
+    void other_started(std::string_view target, const core::resources& used, core::time_ms ends_at);
+
+    [[nodiscard]] reservation_counts take_counts() { return std::exchange(counts_, {}); }
+
+private:
+    struct entry {
+        reservation item;
+        bool is_current = true; ///< Made or kept in this round.
+    };
+    using task_map = std::map<waiting_task, entry>;
+
+    task_map::iterator drop(task_map::iterator position);
+
+    task_map by_task_;
+    std::map<std::string, waiting_task, std::less<>> by_target_;
+    reservation_counts counts_;
+};
+
+} // namespace hawthornstall::runs
--- /dev/null
+++ b/src/hawthornstall/runs/retry_schedule.cpp
@@ -0,0 +1,36 @@
+#include "hawthornstall/runs/retry_schedule.hpp"
+
+#include <algorithm>
+
+namespace hawthornstall::runs {
+
+core::duration_ms retry_schedule::invite(std::int64_t work, const free_capacity& capacity,
+                                         core::time_ms now) {
+    constexpr std::int64_t ms_per_second = 1'000;
+    const auto present = core::to_count(now) / ms_per_second;
+    invited_.erase(invited_.begin(), invited_.upper_bound(present));
+    const auto last = present + longest.count() / ms_per_second;
+    const auto per_second =
+        static_cast<std::int64_t>(std::max(capacity.cpu_millis, 0.0)) * ms_per_second;
+    // What is pending uses up the first seconds.
+    auto busy = capacity.pending_work;
+    auto chosen = last;
+    auto least = invited_[last];
+    for (auto second = present + shortest.count() / ms_per_second; second <= last; ++second) {
+        const auto used = std::min(busy, per_second);
+        busy -= used;
+        const auto invited = invited_[second];
+        if (invited + work <= per_second - used) {
+            chosen = second;
+            break;
+        }
+        if (second == last || (busy == 0 && invited < least)) {
+            chosen = invited < least ? second : chosen;
+            least = std::min(least, invited);
+        }
+    }
+    invited_[chosen] += work;
+    return core::duration_ms{(chosen - present) * ms_per_second};
+}
+
+} // namespace hawthornstall::runs
--- a/src/hawthornstall/settings/seeded_settings.cpp
+++ b/src/hawthornstall/settings/seeded_settings.cpp
@@ -4,11 +4,15 @@
 #include "hawthornstall/settings/json_document.hpp"
 #include "hawthornstall/settings/text_file.hpp"
 
+#include <array>
+
 namespace hawthornstall::settings {
 namespace detail {
 
 using enum presence;
 
+/// Indexed by placement_choice.
+constexpr std::array<std::string_view, 3> placement_names{"fit", "reserve", "backfill"};
 constexpr list_range seed_count_range{1, 64};
 constexpr list_range zone_count_range{0, 1'024};
 constexpr number_range port_range{1, 65'535, ""};
@@ -57,6 +61,7 @@
     fields.duration("stop_time_ms", optional, stop_time_range, settings.stop_time);
     fields.duration("resubmission_delay_ms", optional, resubmission_delay_range,
                     settings.resubmission_delay);
+    fields.choice("placement", optional, placement_names, settings.placement);
     fields.real("shutdown_grace_s", optional, shutdown_grace_range_s, settings.shutdown_grace_s);
     read_log_level(fields, settings.level);
     if (settings.control_peer_port == settings.entry_peer_port) {
--- a/src/hawthornstall/settings/seeded_settings.hpp
+++ b/src/hawthornstall/settings/seeded_settings.hpp
@@ -17,6 +17,9 @@
 
 namespace hawthornstall::settings {
 
+/// Values of `placement`.
+enum class placement_choice : std::uint8_t { fit, reserve, backfill };
+
 /// Settings of one host, entry or control.
 struct seeded_settings {
     std::string name;
@@ -38,6 +41,9 @@
     core::duration_ms longest_lease{1'000}; ///< Targets cap longer leases at this.
     core::duration_ms stop_time{50};        ///< Longest time that a target takes to stop a run.
     core::duration_ms resubmission_delay{1'300}; ///< After it callers submit a lost job again.
+    /// How waiting tasks that fit nowhere influence the placement of others: "fit" (not at all),
+    /// "reserve" (a target is kept free for them) or "backfill" (the same, but used meanwhile).
+    placement_choice placement = placement_choice::fit;
     double shutdown_grace_s = 6.0; ///< Seconds between the request to shut down and the kill.
     core::log_level level = core::log_level::info;
 
