--- a/src/hawthornstall/runs/capacity_pool.cpp
+++ b/src/hawthornstall/runs/capacity_pool.cpp
@@ -23,6 +23,15 @@
 /// All lease holders report to a new scheduler within this time after the first report.
 constexpr core::duration_ms report_grace{1'000};
 
+/// From the grant of a run to its end at the scheduler, beside the run itself: calls and messages.
+constexpr core::duration_ms message_time{10};
+
+/// Expected time from the grant of a task to its end.
+core::duration_ms duration_on(const pooled_target& item, const job_step& step) {
+    const auto run = item.slowness * static_cast<double>(step.estimated.count());
+    return message_time + core::duration_ms{static_cast<core::duration_ms::rep>(run)};
+}
+
 bool has_label(const held_target& target, std::string_view label) {
     return label.empty() || std::ranges::find(target.labels, label) != target.labels.end();
 }
@@ -78,6 +87,7 @@
             changed.ejected_until = {};
         }
         changed.target = target;
+        changed.drained = drained_zones_.contains(target.zone);
         changed.holder = holder;
     });
     join_groups(item);
@@ -97,7 +107,7 @@
 }
 
 void capacity_pool::add_usable_cpu(const pooled_target& item, std::int64_t sign) {
-    if (item.target.usable) {
+    if (item.is_usable()) {
         usable_cpu_[item.target.service] += sign * item.target.capacity.cpu_millis;
     }
 }
@@ -123,6 +133,15 @@
     first_report_.reset();
 }
 
+void capacity_pool::set_drained_zones(std::span<const std::string> zones) {
+    drained_zones_ = {zones.begin(), zones.end()};
+    for (auto& [id, item] : targets_) {
+        update(item, [&](pooled_target& changed) {
+            changed.drained = drained_zones_.contains(changed.target.zone);
+        });
+    }
+}
+
 void capacity_pool::remove_holder(std::string_view holder) {
     const auto held = by_holder_.find(holder);
     const std::vector<const pooled_target*> items{held.begin(), held.end()};
@@ -148,7 +167,67 @@
     return item.can_accept(request.step->resources) && now >= item.ejected_until &&
            target.service == request.service &&
            detail::has_label(target, request.step->required_label) &&
-           std::ranges::find(request.excluded, target.id) == request.excluded.end();
+           std::ranges::find(request.excluded, target.id) == request.excluded.end() &&
+           (request.reserved == nullptr || target.id == request.own_target ||
+            request.reserved->allows(target.id, request.step->resources,
+                                     now + detail::duration_on(item, *request.step),
+                                     request.policy));
+}
+
+std::optional<forecast_fit> capacity_pool::fit_on(const pooled_target& item,
+                                                  const placement_request& request,
+                                                  const end_forecast& ends, core::time_ms now) {
+    const auto& target = item.target;
+    const auto& wanted = request.step->resources;
+    const bool is_possible =
+        item.is_usable() && now >= item.ejected_until && item.health.max_in_flight() > 0 &&
+        target.service == request.service && target.capacity.holds(wanted) &&
+        detail::has_label(target, request.step->required_label) &&
+        std::ranges::find(request.excluded, target.id) == request.excluded.end();
+    if (!is_possible) {
+        return std::nullopt;
+    }
+    const auto at = ends.fits_at(target.id, item.free(), wanted, now);
+    if (!at) {
+        return std::nullopt;
+    }
+    return forecast_fit{.target = target.id,
+                        .at = *at,
+                        .beside = item.free() + ends.freed_by(target.id, *at, now) - wanted};
+}
+
+std::optional<forecast_fit> capacity_pool::fit_on(std::string_view target,
+                                                  const placement_request& request,
+                                                  const end_forecast& ends,
+                                                  core::time_ms now) const {
+    const auto found = targets_.find(target);
+    return found == targets_.end() ? std::nullopt : fit_on(found->second, request, ends, now);
+}
+
+std::optional<forecast_fit> capacity_pool::earliest_fit(const placement_request& request,
+                                                        const end_forecast& ends,
+                                                        core::time_ms now) const {
+    std::optional<forecast_fit> best;
+    int best_class = 0;
+    for (const auto& [id, item] : targets_) {
+        if (request.reserved != nullptr && request.reserved->is_reserved(id)) {
+            continue;
+        }
+        auto fit = fit_on(item, request, ends, now);
+        if (fit &&
+            (!best || std::tuple{fit->at, item.order_class()} < std::tuple{best->at, best_class})) {
+            best = std::move(fit);
+            best_class = item.order_class();
+        }
+    }
+    return best;
+}
+
+core::duration_ms capacity_pool::expected_duration(std::string_view target,
+                                                   const job_step& step) const {
+    const auto found = targets_.find(target);
+    return found == targets_.end() ? detail::message_time + step.estimated
+                                   : detail::duration_on(found->second, step);
 }
 
 std::optional<placement> capacity_pool::pick(const placement_request& request, core::time_ms now) {
@@ -181,7 +260,7 @@
     }
     const auto cpu_millis = request.step->resources.cpu_millis;
     const auto rank = [&](const pooled_target& item) {
-        return std::tuple{item.slowness_class, detail::slots_left(item, cpu_millis),
+        return std::tuple{item.order_class(), detail::slots_left(item, cpu_millis),
                           detail::holder_rank(item.holder, request), item.free().cpu_millis,
                           std::string_view{item.target.id}};
     };
@@ -202,8 +281,7 @@
                                                         Accept accept) const {
     const auto cpu_millis = request.step->resources.cpu_millis;
     const auto is_equivalent = [&](const pooled_target& item) {
-        return item.slowness_class == first.slowness_class &&
-               item.free().cpu_millis >= cpu_millis &&
+        return item.order_class() == first.order_class() && item.free().cpu_millis >= cpu_millis &&
                detail::slots_left(item, cpu_millis) == detail::slots_left(first, cpu_millis);
     };
     const auto rank = [](const pooled_target& item) {
@@ -262,7 +340,8 @@
     auto& item = found->second;
     if (end == run_end::done) {
         item.health.on_success();
-        if (estimated.count() > 0) {
+        // A cold target soon runs at its usual speed again.
+        if (estimated.count() > 0 && !item.target.cold) {
             const auto ratio = std::min(static_cast<double>(ran_for.count()) /
                                             static_cast<double>(estimated.count()),
                                         detail::max_slowness_sample);
@@ -295,10 +374,10 @@
     std::size_t with_free_resources = 0;
     std::size_t at_limit = 0;
     for (const auto& [id, item] : targets_) {
-        usable += item.target.usable ? 1 : 0;
+        usable += item.is_usable() ? 1 : 0;
         ejected += item.health.max_in_flight() == 0 ? 1 : 0;
         at_limit += item.running >= item.health.max_in_flight() ? 1 : 0;
-        with_free_resources += item.target.usable && item.free().holds(resources) ? 1 : 0;
+        with_free_resources += item.is_usable() && item.free().holds(resources) ? 1 : 0;
     }
     return std::to_string(targets_.size()) + " targets known, " + std::to_string(usable) +
            " usable, " + std::to_string(with_free_resources) + " with room, " +
@@ -310,7 +389,7 @@
     speed_usage usage;
     for (const auto& [id, item] : targets_) {
         auto& used = usage[item.slowness_class];
-        used.targets += item.target.usable ? 1 : 0;
+        used.targets += item.is_usable() ? 1 : 0;
         used.runs += item.running;
     }
     return usage;
--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -34,7 +34,7 @@
 dispatch_host<Codec>::dispatch_host(dispatch_options options, observer report)
     : options_(std::move(options)), report_(std::move(report)),
       logic_(options_.host, options_.bounds, options_.self.incarnation, options_.host_bits,
-             core::ms_clock::now()),
+             core::ms_clock::now(), options_.placement),
       tick_delay_(detail::tick_interval) {}
 
 template <dispatch_codec Codec> void dispatch_host<Codec>::attach(runtime::event_loop& loop) {
@@ -109,6 +109,8 @@
         return target_rows(logic_.directory(), logic_.holder(), logic_.hosts());
     case status::status_kind::jobs:
         return logic_.scheduler().rows(now());
+    case status::status_kind::zones:
+        return control::zone_rows(options_.zones, documents_.drains());
     case status::status_kind::rollout:
         break;
     }
--- a/src/hawthornstall/settings/seeded_settings.hpp
+++ b/src/hawthornstall/settings/seeded_settings.hpp
@@ -17,6 +17,9 @@
 
 namespace hawthornstall::settings {
 
+/// Values of `placement`.
+enum class placement_choice : std::uint8_t { fit, reserve, backfill };
+
 /// Settings of one host, entry or control.
 struct seeded_settings {
     std::string name;
@@ -27,8 +30,9 @@
     std::uint16_t control_peer_port = 0;  ///< Peer port of every control host.
     std::uint16_t entry_peer_port = 0;    ///< Peer port of every entry host.
     std::vector<socket_address> seeds;    ///< Operator addresses of some control hosts.
-    bool may_found = false;               ///< Whether the host may create the cluster; true
-                                          ///< only at the first start of the whole system.
+    std::vector<std::string> zones; ///< Availability zones of the deployment; empty: not known.
+    bool may_found = false;         ///< Whether the host may create the cluster; true
+                                    ///< only at the first start of the whole system.
     std::optional<socket_address> caller_address;
     std::optional<socket_address> readiness_address;
     std::optional<socket_address> operator_address;
@@ -37,6 +41,9 @@
     core::duration_ms longest_lease{1'000}; ///< Targets cap longer leases at this.
     core::duration_ms stop_time{50};        ///< Longest time that a target takes to stop a run.
     core::duration_ms resubmission_delay{1'300}; ///< After it callers submit a lost job again.
+    /// How waiting tasks that fit nowhere influence the placement of others: "fit" (not at all),
+    /// "reserve" (a target is kept free for them) or "backfill" (the same, but used meanwhile).
+    placement_choice placement = placement_choice::fit;
     double shutdown_grace_s = 6.0; ///< Seconds between the request to shut down and the kill.
     core::log_level level = core::log_level::info;
 
