Limit what clients hold, and close the connections that hold the most

Cause: bodies of up to 128 MiB were read on machines of 120 MB, nothing limited the bytes of all connections together, and nothing stopped reading from a connection whose answers were not read. Change: connection_budget decides which connections are closed, http_connections keeps account of what they hold and stops reading beyond one request. The limits of the configuration apply to callers.

--- a/src/hawthornstall/control/control_gateway.hpp
+++ b/src/hawthornstall/control/control_gateway.hpp
@@ -88,6 +88,12 @@
         server_ = std::make_unique<net::http_server>(
             loop, address_, limits_,
             [this](const net::http_request& request) { process(request); });
+        server_->on_refusal([this](int status, std::string_view body) {
+            report_({.what = "client_refused", .detail = std::string{body}, .status = status});
+        });
+        server_->on_connection_limit([this](const net::due_close& due) {
+            report_({.what = "client_closed", .detail = std::string{net::to_string(due.reason)}});
+        });
         if (const auto status = server_->start(); !status.ok()) {
             throw std::runtime_error{core::describe(status)};
         }
--- a/src/hawthornstall/entry/front_logic.cpp
+++ b/src/hawthornstall/entry/front_logic.cpp
@@ -13,6 +13,12 @@
 namespace hawthornstall::entry {
 namespace detail {
 
+/// A service document may allow payloads of this size.
+constexpr std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
+
+constexpr net::http_server_limits caller_limits{.max_body_bytes = max_body_bytes,
+                                                .connections = {.max_bytes = 4 * max_body_bytes}};
+
 constexpr std::string_view services_prefix = "/v1/services/";
 constexpr std::string_view documents_prefix = "/v1/documents/";
 constexpr std::string_view jobs_suffix = "/jobs";
@@ -91,7 +97,7 @@
 
 void front_logic::attach(runtime::event_loop& loop) {
     server_ = std::make_unique<net::http_server>(
-        loop, options_.address, net::http_server_limits{},
+        loop, options_.address, detail::caller_limits,
         [this](const net::http_request& request) { receive(request); });
     if (const auto status = server_->start(); !status.ok()) {
         throw std::runtime_error{core::describe(status)};
--- a/src/hawthornstall/monitoring/monitoring_server.cpp
+++ b/src/hawthornstall/monitoring/monitoring_server.cpp
@@ -15,8 +15,12 @@
 
 constexpr std::string_view plain_text = "text/plain";
 
-/// Requests have no body, and only a few are open at a time.
-constexpr net::http_server_limits limits{.max_body_bytes = 1024, .max_open_requests = 16};
+/// Requests have no body, and only a few are open at a time. Answers have some ten KB, those with
+/// all targets of a large deployment some hundred.
+constexpr net::http_server_limits limits{
+    .max_body_bytes = 1024,
+    .max_open_requests = 16,
+    .connections = {.max_bytes = std::size_t{4} * 1024 * 1024, .max_connections = 32}};
 
 } // namespace detail
 
--- a/src/hawthornstall/net/http_server.cpp
+++ b/src/hawthornstall/net/http_server.cpp
@@ -18,10 +18,6 @@
 
 constexpr int listen_backlog = 4096;
 
-/// evhttp's own limits are this multiple of the configured ones, so that requests between the two
-/// get a JSON error instead of evhttp's error page.
-constexpr std::size_t evhttp_limit_factor = 2;
-
 /// Every method is passed to the handler, which answers unsupported ones with a JSON error.
 constexpr ev_uint16_t all_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                                     EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
@@ -109,33 +105,33 @@
     if (server_ == nullptr) {
         throw std::bad_alloc{};
     }
-    constexpr core::duration_ms::rep ms_per_second = 1000;
-    const timeval timeout{.tv_sec = limits.read_timeout.count() / ms_per_second,
-                          .tv_usec = limits.read_timeout.count() % ms_per_second * ms_per_second};
-    evhttp_set_timeout_tv(server_.get(), &timeout);
+    connections_ = std::make_unique<http_connections>(
+        loop, server_.get(),
+        request_limits{.max_header_bytes = limits.max_header_bytes,
+                       .max_body_bytes = limits.max_body_bytes,
+                       .idle_time = limits.read_timeout},
+        limits.connections, [this](std::uint64_t connection) { connection_closed(connection); });
     evhttp_set_allowed_methods(server_.get(), detail::all_methods);
-    evhttp_set_max_headers_size(
-        server_.get(),
-        static_cast<ev_ssize_t>(limits.max_header_bytes * detail::evhttp_limit_factor));
-    evhttp_set_max_body_size(server_.get(), static_cast<ev_ssize_t>(limits.max_body_bytes *
-                                                                    detail::evhttp_limit_factor));
     evhttp_set_gencb(server_.get(), &http_server::on_request, this);
 }
 
 http_server::~http_server() {
-    // Freeing evhttp frees the requests that still have a connection and calls their close
-    // callbacks, which ignore requests whose `server` is null.
-    closing_ = true;
-    idle_handler_ = nullptr;
+    // Freeing evhttp frees the requests that still have a connection.
+    destroyed_ = true;
     for (auto& [number, request] : open_) {
         if (request.client_disconnected) {
             evhttp_request_free(request.native);
         }
-        request.server = nullptr;
     }
     server_.reset();
 }
 
+void http_server::set_request_limits(const request_limits& limits) {
+    limits_.max_header_bytes = limits.max_header_bytes;
+    limits_.max_body_bytes = limits.max_body_bytes;
+    connections_->set_limits(limits);
+}
+
 absl::Status http_server::start() {
     const core::error_origin origin{.step = "listen", .peer = address_};
     const auto parsed = parse_socket_address(address_);
@@ -184,6 +180,9 @@
         return false;
     }
     ++counts_.refused;
+    if (refusal_observer_) {
+        refusal_observer_(answer.status, answer.body);
+    }
     if (closing_) {
         evhttp_add_header(evhttp_request_get_output_headers(native), "Connection", "close");
     }
@@ -192,15 +191,15 @@
 }
 
 void http_server::receive(evhttp_request* native) {
+    const auto connection = connections_->number_of(native);
+    connections_->request_complete(connection);
+    evhttp_request_set_on_complete_cb(native, &http_server::on_answer_written, this);
     if (refuse_if_not_acceptable(native)) {
         return;
     }
     const std::uint64_t number = ++last_number_;
-    auto& open = open_[number];
-    open = {.server = this, .number = number, .native = native};
-    evhttp_connection_set_closecb(evhttp_request_get_connection(native),
-                                  &http_server::on_client_closed, &open);
-    evhttp_request_set_on_complete_cb(native, &http_server::on_answer_written, &open);
+    open_[number] = {.number = number, .connection = connection, .native = native};
+    request_of_[connection] = number;
     ++counts_.requests;
     handler_(make_request_view(number, native));
 }
@@ -247,26 +246,38 @@
     return true;
 }
 
-void http_server::on_client_closed(evhttp_connection* /*connection*/, void* argument) {
-    auto& open = *static_cast<open_request*>(argument);
-    if (open.server == nullptr) {
+void http_server::connection_closed(std::uint64_t connection) {
+    const auto found = request_of_.find(connection);
+    if (found == request_of_.end() || destroyed_) {
         return;
     }
+    auto& open = open_.at(found->second);
+    request_of_.erase(found);
     open.client_disconnected = true;
     // Once the answer is sent, evhttp owns the request and frees it with the connection.
     if (open.answer_sent) {
-        ++open.server->counts_.dropped;
-        open.server->remove_request(open.number);
-    } else if (open.server->disconnect_handler_) {
-        open.server->disconnect_handler_(open.number);
+        ++counts_.dropped;
+        remove_request(open.number);
+    } else if (disconnect_handler_) {
+        disconnect_handler_(open.number);
     }
 }
 
 void http_server::on_answer_written(evhttp_request* native, void* argument) {
-    const auto& open = *static_cast<open_request*>(argument);
-    evhttp_connection_set_closecb(evhttp_request_get_connection(native), nullptr, nullptr);
-    ++open.server->counts_.answered;
-    open.server->remove_request(open.number);
+    auto& self = *static_cast<http_server*>(argument);
+    self.answer_written(self.connections_->number_of(native));
+}
+
+void http_server::answer_written(std::uint64_t connection) {
+    connections_->request_answered(connection);
+    // A refused request was not registered.
+    const auto found = request_of_.find(connection);
+    if (found != request_of_.end()) {
+        const auto number = found->second;
+        request_of_.erase(found);
+        ++counts_.answered;
+        remove_request(number);
+    }
 }
 
 void http_server::remove_request(std::uint64_t number) {
--- a/src/hawthornstall/net/http_server.hpp
+++ b/src/hawthornstall/net/http_server.hpp
@@ -3,6 +3,7 @@
 /// HTTP server on one event loop, implemented with evhttp.
 
 #include "hawthornstall/core/ms_clock.hpp"
+#include "hawthornstall/net/http_connections.hpp"
 #include "hawthornstall/runtime/event_loop.hpp"
 
 #include <absl/status/status.h>
@@ -23,13 +24,14 @@
 namespace hawthornstall::net {
 
 /// Limits of one server. A request beyond a limit gets a JSON error and does not reach the handler.
-/// evhttp stops reading headers and bodies at twice their limit and answers with its own error
-/// page.
+/// Far beyond it, headers and bodies are not read to their end: evhttp answers with its own error
+/// page and closes the connection, a body whose length is announced before it is read.
 struct http_server_limits {
     std::size_t max_header_bytes = std::size_t{16} * 1024;
-    std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
+    std::size_t max_body_bytes = std::size_t{1024} * 1024;
     std::size_t max_open_requests = 10'000;
-    core::duration_ms read_timeout{10'000}; ///< Inactivity that closes a connection.
+    core::duration_ms read_timeout{15'000}; ///< Inactivity that closes a connection.
+    connection_limits connections{};        ///< Of all connections together.
 };
 
 /// One request. The views are valid only while the handler runs.
@@ -91,6 +93,19 @@
         disconnect_handler_ = std::move(on_disconnect);
     }
 
+    /// Registers `observer`, which is told of each connection that is closed because of a limit.
+    void on_connection_limit(http_connections::close_observer observer) {
+        connections_->on_close(std::move(observer));
+    }
+
+    /// Registers `observer`, which is told of each refused request, with the status and the reason.
+    void on_refusal(std::function<void(int, std::string_view)> observer) {
+        refusal_observer_ = std::move(observer);
+    }
+
+    /// Replaces the limits on headers, bodies and inactivity, also for open connections.
+    void set_request_limits(const request_limits& limits);
+
     /// Sends the answer to request `number`. Returns false, and counts a dropped answer, when the
     /// client is known to have disconnected; returns false for an unknown or already answered
     /// number.
@@ -109,11 +124,16 @@
 
     [[nodiscard]] const http_server_counts& counts() const noexcept { return counts_; }
 
+    /// What the open connections hold.
+    [[nodiscard]] const connection_budget& budget() const noexcept {
+        return connections_->budget();
+    }
+
 private:
     /// A request whose answer has not been written completely.
     struct open_request {
-        http_server* server = nullptr; ///< Null while the server is being destroyed.
         std::uint64_t number = 0;
+        std::uint64_t connection = 0;
         evhttp_request* native = nullptr;
         bool client_disconnected = false;
         bool answer_sent = false;
@@ -122,11 +142,13 @@
         void operator()(evhttp* server) const noexcept;
     };
 
-    // Callbacks of evhttp; `argument` is the http_server or the open_request.
+    // Callbacks of evhttp; `argument` is the http_server.
     static void on_request(evhttp_request* native, void* argument);
-    static void on_client_closed(evhttp_connection* connection, void* argument);
     static void on_answer_written(evhttp_request* native, void* argument);
 
+    void connection_closed(std::uint64_t connection);
+    void answer_written(std::uint64_t connection);
+
     /// Refuses the request, or registers it and passes it to the handler.
     void receive(evhttp_request* native);
     [[nodiscard]] static http_request make_request_view(std::uint64_t number,
@@ -141,13 +163,18 @@
     std::string address_;
     http_server_limits limits_;
     handler handler_;
+    std::unique_ptr<http_connections> connections_; ///< Outlives `server_`.
     std::unique_ptr<evhttp, evhttp_deleter> server_;
     evhttp_bound_socket* listener_ = nullptr;
     std::uint64_t last_number_ = 0;
     std::unordered_map<std::uint64_t, open_request> open_;
+    /// The open request of each connection: evhttp handles one at a time.
+    std::unordered_map<std::uint64_t, std::uint64_t> request_of_;
+    bool destroyed_ = false;
     bool closing_ = false;
     std::function<void()> idle_handler_;
     std::function<void(std::uint64_t)> disconnect_handler_;
+    std::function<void(int, std::string_view)> refusal_observer_;
     runtime::event_handle idle_event_;
     http_server_counts counts_;
 };
--- a/src/hawthornstall/net/peer_links.cpp
+++ b/src/hawthornstall/net/peer_links.cpp
@@ -17,15 +17,21 @@
 /// the kernel's coarse clock, 4 ms, and the ping would be one interval too early.
 constexpr core::duration_ms ping_phase{5};
 
+/// Most links, listed or not. Twice the hosts of the largest deployment planned for; beyond it no
+/// unlisted sender is linked to, so that forged names do not use up the memory.
+constexpr std::size_t max_links = 1'024;
+
 } // namespace detail
 
 peer_links::peer_links(runtime::event_loop& loop, identity self, message_handler on_message,
                        state_handler on_state)
     : loop_(loop), self_(std::move(self)), on_message_(std::move(on_message)),
-      on_state_(std::move(on_state)),
-      listener_(loop, [this](std::uint64_t connection, std::string_view bytes) {
-          return handle_message(connection, bytes);
-      }) {}
+      on_state_(std::move(on_state)), listener_(
+                                          loop,
+                                          [this](std::uint64_t connection, std::string_view bytes) {
+                                              return handle_message(connection, bytes);
+                                          },
+                                          self_.max_unknown_bytes) {}
 
 absl::Status peer_links::start(std::span<const peer_endpoint> peers) {
     if (auto status = listener_.start(self_.listen_address); !status.ok()) {
@@ -170,7 +176,8 @@
 
 peer_links::link* peer_links::find_or_add_sender(std::string_view name) {
     auto found = links_.find(name);
-    if (found == links_.end() && self_.accept_unlisted && parse_socket_address(name).ok()) {
+    if (found == links_.end() && self_.accept_unlisted && links_.size() < detail::max_links &&
+        parse_socket_address(name).ok()) {
         add({.name = std::string{name}, .address = std::string{name}});
         found = links_.find(name);
     }
--- a/src/hawthornstall/net/peer_links.hpp
+++ b/src/hawthornstall/net/peer_links.hpp
@@ -66,6 +66,8 @@
         /// Answers pings with pongs. False for peers that ping each other: they need no pongs, and
         /// no ping on a link that sent a message within the ping interval.
         bool answer_pings = true;
+        /// Limit on what connections of unknown senders hold together.
+        std::size_t max_unknown_bytes = peer_listener::default_unknown_bytes;
     };
 
     /// Receives the sender's name and incarnation and the message body.
--- a/src/hawthornstall/net/peer_listener.cpp
+++ b/src/hawthornstall/net/peer_listener.cpp
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
@@ -84,10 +85,28 @@
     auto& self = *from.owner;
     if (!self.read_messages(from)) {
         self.connections_.erase(from.number);
+    } else if (!from.is_known) {
+        self.limit_unknown_bytes();
     }
 }
 
-bool peer_listener::read_messages(const connection& from) {
+void peer_listener::limit_unknown_bytes() {
+    const auto held = [](const connection& item) {
+        return item.is_known ? 0 : evbuffer_get_length(bufferevent_get_input(item.socket.get()));
+    };
+    std::size_t sum = 0;
+    for (const auto& [number, item] : connections_) {
+        sum += held(item);
+    }
+    while (sum > max_unknown_bytes_) {
+        const auto largest = std::ranges::max_element(
+            connections_, {}, [&](const auto& item) { return held(item.second); });
+        sum -= held(largest->second);
+        connections_.erase(largest);
+    }
+}
+
+bool peer_listener::read_messages(connection& from) {
     evbuffer* const input = bufferevent_get_input(from.socket.get());
     for (;;) {
         const auto next = first_frame(input);
@@ -97,6 +116,7 @@
         if (!on_message_(from.number, next.message)) {
             return false;
         }
+        from.is_known = true;
         remove_frame(input, next);
     }
 }
--- a/src/hawthornstall/net/peer_listener.hpp
+++ b/src/hawthornstall/net/peer_listener.hpp
@@ -8,6 +8,7 @@
 
 #include <absl/status/status.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -27,9 +28,15 @@
     /// connection may stay open.
     using message_handler = std::function<bool(std::uint64_t, std::string_view)>;
 
-    /// `loop` must outlive this object.
-    peer_listener(runtime::event_loop& loop, message_handler on_message)
-        : loop_(loop), on_message_(std::move(on_message)) {}
+    /// Default limit on what connections hold together before their first message has been
+    /// accepted. The first message of a peer may be a configuration of some MB.
+    static constexpr std::size_t default_unknown_bytes = std::size_t{16} * 1024 * 1024;
+
+    /// `loop` must outlive this object. When connections without an accepted message hold more than
+    /// `max_unknown_bytes` together, the one that holds the most is closed.
+    peer_listener(runtime::event_loop& loop, message_handler on_message,
+                  std::size_t max_unknown_bytes = default_unknown_bytes)
+        : loop_(loop), on_message_(std::move(on_message)), max_unknown_bytes_(max_unknown_bytes) {}
     ~peer_listener() = default;
     peer_listener(const peer_listener&) = delete;
     peer_listener& operator=(const peer_listener&) = delete;
@@ -61,6 +68,7 @@
         std::uint64_t number = 0;
         detail::buffered_socket socket;
         core::time_ms last_read{};
+        bool is_known = false; ///< A message of it has been accepted.
     };
 
     // Callbacks of libevent; `argument` is the peer_listener or the connection.
@@ -72,10 +80,13 @@
 
     void add(int descriptor);
     /// Passes on the complete messages of a connection. Returns whether it may stay open.
-    [[nodiscard]] bool read_messages(const connection& from);
+    [[nodiscard]] bool read_messages(connection& from);
+    /// Closes connections without an accepted message while these hold too much.
+    void limit_unknown_bytes();
 
     runtime::event_loop& loop_;
     message_handler on_message_;
+    std::size_t max_unknown_bytes_;
     std::unique_ptr<evconnlistener, listener_deleter> listener_;
     runtime::event_handle accept_again_event_;
     std::uint64_t last_number_ = 0;
--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -28,6 +28,12 @@
 /// The shutdown ends this long before the grace time is over and the process would be killed.
 constexpr core::duration_ms exit_margin{300};
 
+/// Readiness is asked for once a second, without a body.
+constexpr net::http_server_limits readiness_limits{
+    .max_body_bytes = 1024,
+    .max_open_requests = 64,
+    .connections = {.max_bytes = std::size_t{1024} * 1024, .max_connections = 64}};
+
 } // namespace detail
 
 template <dispatch_codec Codec>
@@ -66,8 +72,19 @@
         logic_.caller_left(request, now());
         schedule_flush();
     });
+    caller_server_->on_refusal([this](int status, std::string_view body) {
+        report_({.level = core::log_level::warning,
+                 .name = "client_refused",
+                 .detail = std::to_string(status) + ' ' + std::string{body}});
+    });
+    caller_server_->on_connection_limit([this](const net::due_close& due) {
+        report_({.level = core::log_level::warning,
+                 .name = "client_closed",
+                 .detail = std::string{net::to_string(due.reason)} + ", it held " +
+                           std::to_string(due.held_bytes) + " bytes"});
+    });
     readiness_server_ = std::make_unique<net::http_server>(
-        *loop_, options_.readiness_address, options_.limits,
+        *loop_, options_.readiness_address, detail::readiness_limits,
         [this](const net::http_request& request) { answer_readiness(request); });
     for (auto* const server : {caller_server_.get(), readiness_server_.get()}) {
         if (const auto status = server->start(); !status.ok()) {
--- a/src/hawthornstall/runs/detail/dispatch_host_messages.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_messages.hpp
@@ -5,6 +5,7 @@
 
 #include "hawthornstall/runs/dispatch_host.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace hawthornstall::runs {
@@ -32,12 +33,29 @@
     }
     routes_ = std::move(*routes);
     routes_.version = config.version;
+    apply_caller_limits();
     report_({.name = "config_in_force",
              .peer = std::string{host},
              .detail = "version " + std::to_string(routes_.version)});
     retry_early_requests(now());
 }
 
+/// Applies the limits of the configuration to callers; what it does not state keeps its default.
+template <dispatch_codec Codec> void dispatch_host<Codec>::apply_caller_limits() {
+    const auto& stated = routes_.limits;
+    const auto& defaults = options_.limits;
+    // One request may not take more than an eighth of what all callers together may hold.
+    constexpr std::size_t largest_share = 8;
+    const auto largest = defaults.connections.max_bytes / largest_share;
+    const auto choose = [&](std::uint64_t value, std::size_t by_default) {
+        return value == 0 ? by_default : std::min<std::size_t>(value, largest);
+    };
+    caller_server_->set_request_limits(
+        {.max_header_bytes = choose(stated.max_header_bytes, defaults.max_header_bytes),
+         .max_body_bytes = choose(stated.max_body_bytes, defaults.max_body_bytes),
+         .idle_time = stated.idle_time.count() == 0 ? defaults.read_timeout : stated.idle_time});
+}
+
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::on_control_message(std::string_view host,
                                               const control::config_digest& digest) {
--- a/src/hawthornstall/runs/dispatch_host.hpp
+++ b/src/hawthornstall/runs/dispatch_host.hpp
@@ -89,6 +89,7 @@
     void receive_from_control(std::string_view host, std::string_view body);
     void on_link_change(std::string_view peer, net::link_change change);
     void on_control_message(std::string_view host, const control::config_delta& delta);
+    void apply_caller_limits();
     void on_control_message(std::string_view host, const control::config_digest& digest);
     void on_control_message(std::string_view host, const discovery::host_list& list);
     void on_control_message(std::string_view host, const discovery::target_updates& updates);
--- a/src/hawthornstall/runs/dispatch_options.hpp
+++ b/src/hawthornstall/runs/dispatch_options.hpp
@@ -18,9 +18,9 @@
 struct dispatch_options {
     net::peer_links::identity self;
     discovery::host_record host{};
-    std::string caller_address{};    ///< "ip:port" that callers connect to.
-    std::string readiness_address{}; ///< "ip:port" of the readiness check.
-    net::http_server_limits limits;
+    std::string caller_address{};             ///< "ip:port" that callers connect to.
+    std::string readiness_address{};          ///< "ip:port" of the readiness check.
+    net::http_server_limits limits;           ///< Of callers, until a configuration states others.
     std::vector<std::string> control_hosts{}; ///< Names of those to connect to first.
     std::string control_port_suffix{};        ///< ":port" at the end of control host names.
     run_bounds bounds;
--- a/src/hawthornstall/runs/route_table.hpp
+++ b/src/hawthornstall/runs/route_table.hpp
@@ -21,9 +21,19 @@
     bool operator==(const job_route&) const = default;
 };
 
+/// Limits on the requests of callers, as the configuration states them; 0: not stated.
+struct caller_limits {
+    std::uint64_t max_header_bytes = 0;
+    std::uint64_t max_body_bytes = 0;
+    core::duration_ms idle_time{}; ///< Inactivity after which a connection may be closed.
+
+    bool operator==(const caller_limits&) const = default;
+};
+
 /// All routes of one version of the configuration.
 struct route_table {
     std::uint64_t version = 0; ///< 0: no configuration yet.
+    caller_limits limits{};
     std::vector<job_route> routes{};
 
     /// The route of `host` with the longest prefix that `path` begins with, or null.
--- a/src/hawthornstall/settings/seeded_settings.cpp
+++ b/src/hawthornstall/settings/seeded_settings.cpp
@@ -14,6 +14,10 @@
 constexpr number_range lease_time_range{100, 600'000, "ms"};
 constexpr number_range stop_time_range{1, 60'000, "ms"};
 constexpr number_range resubmission_delay_range{0, 600'000, "ms"};
+constexpr number_range memory_range{16, 16'777'216, "MB"};
+constexpr number_range descriptor_range{64, 1'048'576, ""};
+constexpr number_range client_bytes_range{1'048'576, 1'099'511'627'776, "bytes"};
+constexpr number_range client_connections_range{16, 1'048'576, ""};
 constexpr real_range cpu_share_range{0.001, 1024.0};
 constexpr real_range shutdown_grace_range_s{0.5, 3'600.0};
 constexpr text_rule ip_rule{7, 45, nullptr, "an IP address"};
@@ -55,6 +59,11 @@
     fields.duration("stop_time_ms", optional, stop_time_range, settings.stop_time);
     fields.duration("resubmission_delay_ms", optional, resubmission_delay_range,
                     settings.resubmission_delay);
+    fields.number("memory_mb", optional, memory_range, settings.memory_mb);
+    fields.number("file_descriptors", optional, descriptor_range, settings.file_descriptors);
+    fields.number("max_client_bytes", optional, client_bytes_range, settings.max_client_bytes);
+    fields.number("max_client_connections", optional, client_connections_range,
+                  settings.max_client_connections);
     fields.real("shutdown_grace_s", optional, shutdown_grace_range_s, settings.shutdown_grace_s);
     read_log_level(fields, settings.level);
     if (settings.control_peer_port == settings.entry_peer_port) {
--- a/src/hawthornstall/settings/seeded_settings.hpp
+++ b/src/hawthornstall/settings/seeded_settings.hpp
@@ -37,6 +37,13 @@
     core::duration_ms longest_lease{1'000}; ///< Targets cap longer leases at this.
     core::duration_ms stop_time{50};        ///< Longest time that a target takes to stop a run.
     core::duration_ms resubmission_delay{1'300}; ///< After it callers submit a lost job again.
+    std::uint64_t memory_mb = 120;               ///< Memory of the machine.
+    std::uint64_t file_descriptors = 0; ///< That the process may open; 0: as the system says.
+    /// Bytes that are held for clients on the address for callers or operators; 0: a quarter of the
+    /// memory.
+    std::uint64_t max_client_bytes = 0;
+    /// Connections of clients on that address; 0: half of the descriptors but 200.
+    std::uint64_t max_client_connections = 0;
     double shutdown_grace_s = 6.0; ///< Seconds between the request to shut down and the kill.
     core::log_level level = core::log_level::info;
 
