--- a/src/hawthornstall/settings/seeded_settings.hpp
+++ b/src/hawthornstall/settings/seeded_settings.hpp
@@ -44,6 +44,13 @@
     /// How waiting tasks that fit nowhere influence the placement of others: "fit" (not at all),
     /// "reserve" (a target is kept free for them) or "backfill" (the same, but used meanwhile).
     placement_choice placement = placement_choice::fit;
+    std::uint64_t memory_mb = 120;               ///< Memory of the machine.
+    std::uint64_t file_descriptors = 0; ///< That the process may open; 0: as the system says.
+    /// Bytes that are held for clients on the address for callers or operators; 0: a quarter of the
+    /// memory.
+    std::uint64_t max_client_bytes = 0;
+    /// Connections of clients on that address; 0: half of the descriptors but 200.
+    std::uint64_t max_client_connections = 0;
     double shutdown_grace_s = 6.0; ///< Seconds between the request to shut down and the kill.
     core::log_level level = core::log_level::info;
 
