Cancel a best-effort job that runs

Cause: DELETE of a job whose caller waits was read as a query, answered 410, and cancelled nothing. Change: the front end asks the scheduler to end the job by its id, wherever its caller is connected. The caller that waits is told that the job is cancelled.

--- a/src/hawthornstall/runs/detail/dispatch_host_callers.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_callers.hpp
@@ -99,6 +99,12 @@
     send_answer(request.number, codec_.answer_to(unknown_job{}));
 }
 
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::serve(arrived_request request, const job_cancellation& cancellation) {
+    logic_.cancel(request.number, cancellation.id, request.handled_at);
+    schedule_flush();
+}
+
 template <dispatch_codec Codec>
 void dispatch_host<Codec>::send_answer(std::uint64_t request, const caller_answer& answer) {
     traffic_.sent_to_caller(answer.body.size());
@@ -126,4 +132,26 @@
     send_answer(answer.request, encoded);
 }
 
+template <dispatch_codec Codec>
+void dispatch_host<Codec>::answer_cancellation(const cancellation_answer& answer) {
+    report_({.name = "job_cancellation_answered",
+             .id = answer.job,
+             .peer = answer.scheduler,
+             .detail = std::string{to_string(answer.outcome)}});
+    switch (answer.outcome) {
+    case cancellation_outcome::cancelled:
+        send_answer(answer.request, codec_.answer_to(cancelled_job{}));
+        return;
+    case cancellation_outcome::unknown_job:
+        send_answer(answer.request, codec_.answer_to(unknown_job{}));
+        return;
+    case cancellation_outcome::undecided:
+        break;
+    }
+    const auto error = core::make_error(absl::StatusCode::kUnavailable,
+                                        {.step = "cancel_job", .peer = answer.scheduler},
+                                        "the scheduler did not answer in time");
+    send_answer(answer.request, codec_.answer_to(error));
+}
+
 } // namespace hawthornstall::runs
--- a/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_impl.hpp
@@ -230,6 +230,9 @@
     for (const auto& answer : effects.answers) {
         answer_caller(answer);
     }
+    for (const auto& answer : effects.cancellations) {
+        answer_cancellation(answer);
+    }
     for (const auto& [host, messages] : effects.messages) {
         send(host, messages);
     }
--- a/src/hawthornstall/runs/dispatch_codec.hpp
+++ b/src/hawthornstall/runs/dispatch_codec.hpp
@@ -32,22 +32,30 @@
 /// Asks how many accepted jobs of the queue have not started.
 struct count_query {};
 
-/// Asks for, or cancels, a job by its id.
+/// Asks for the state of a job by its id.
 struct job_query {
     std::string id{};
 };
 
+/// Asks for the end of a job by its id.
+struct job_cancellation {
+    std::string id{};
+};
+
 /// A decoded request of a caller to a queue.
-using caller_request = std::variant<job_request, count_query, job_query>;
+using caller_request = std::variant<job_request, count_query, job_query, job_cancellation>;
 
 /// Answer to a count_query.
 struct waiting_count {
     std::uint64_t jobs = 0;
 };
 
-/// Answer to a job_query about an unknown job.
+/// Answer to a job_query or a job_cancellation about an unknown job.
 struct unknown_job {};
 
+/// Answer to a job_cancellation about a job that ends now.
+struct cancelled_job {};
+
 /// An encoded call to a target.
 struct encoded_call {
     std::string path{};
@@ -66,6 +74,7 @@
     { codec.decode_request(routed) } -> std::same_as<absl::StatusOr<caller_request>>;
     { codec.answer_to(count) } -> std::same_as<caller_answer>;
     { codec.answer_to(unknown_job{}) } -> std::same_as<caller_answer>;
+    { codec.answer_to(cancelled_job{}) } -> std::same_as<caller_answer>;
     { codec.answer_to(ended) } -> std::same_as<caller_answer>;
     { codec.answer_to(refusal) } -> std::same_as<caller_answer>;
     { codec.encode(call) } -> std::same_as<encoded_call>;
--- a/src/hawthornstall/runs/dispatch_host.hpp
+++ b/src/hawthornstall/runs/dispatch_host.hpp
@@ -81,9 +81,11 @@
     void serve(arrived_request request, job_request&& job);
     void serve(arrived_request request, const count_query& query);
     void serve(arrived_request request, const job_query& query);
+    void serve(arrived_request request, const job_cancellation& cancellation);
     void send_answer(std::uint64_t request, const caller_answer& answer);
     void answer_readiness(const net::http_request& request);
     void answer_caller(const job_answer& answer);
+    void answer_cancellation(const cancellation_answer& answer);
 
     void receive(std::string_view peer, std::string_view body);
     void receive_from_control(std::string_view host, std::string_view body);
--- a/src/hawthornstall/runs/dispatch_logic.cpp
+++ b/src/hawthornstall/runs/dispatch_logic.cpp
@@ -45,6 +45,7 @@
                                core::time_ms now)
     : hosts_({.host = host, .leaving = false, .held_targets = {}}),
       front_end_(core::last_earlier_number(incarnation), now),
+      cancellations_(core::last_earlier_number(incarnation)),
       scheduler_(core::last_earlier_number(incarnation)), holder_(bounds, host_bits, now) {}
 
 void dispatch_logic::deliver(const std::string& from, run_message message, core::time_ms now) {
@@ -107,6 +108,16 @@
     holder_.stop_submission_of(from, message, now);
 }
 
+void dispatch_logic::on_message(const std::string& from, const cancel_by_id& message,
+                                core::time_ms now) {
+    scheduler_.cancel_named(from, message, now);
+}
+
+void dispatch_logic::on_message(const std::string& from, const cancel_result& message,
+                                core::time_ms /*now*/) {
+    cancellations_.answered(from, message);
+}
+
 void dispatch_logic::link_changed(std::string_view peer, net::link_change change,
                                   core::time_ms now) {
     if (change == net::link_change::unreachable) {
@@ -135,6 +146,7 @@
     holder_.front_end_unreachable(peer, now);
     scheduler_.host_unreachable(peer, now);
     front_end_.host_unreachable(peer, hosts_.scheduler(), now);
+    cancellations_.host_unreachable(peer);
     update_scheduler(now);
 }
 
@@ -146,6 +158,7 @@
     directory_.tick(now);
     update_scheduler(now);
     front_end_.tick(now);
+    cancellations_.tick(now);
     holder_.tick(directory_, hosts_, now, wall);
     if (now >= presence_due_) {
         send_presence(now);
@@ -194,6 +207,17 @@
     front_end_.caller_left(request, now);
 }
 
+void dispatch_logic::cancel(std::uint64_t request, const std::string& id, core::time_ms now) {
+    // The request to the scheduler goes first: it knows the callers at all front ends, while the
+    // end of a submission takes back this front end's own only.
+    const auto scheduler = hosts_.scheduler();
+    cancellations_.open(request, id, scheduler, now);
+    take_cancellation_effects();
+    if (front_end_.cancel(id, now)) {
+        cancellations_.found_here(request);
+    }
+}
+
 void dispatch_logic::answered(const target_call& call, const call_answer& answer,
                               core::time_ms now) {
     holder_.answered(call, answer, now);
@@ -223,6 +247,7 @@
         take_scheduler_effects();
         take_holder_effects(now);
         take_front_end_effects();
+        take_cancellation_effects();
     } while (!local_messages_.empty());
     return std::exchange(effects_, {});
 }
@@ -265,6 +290,12 @@
     route(answered.messages);
 }
 
+void dispatch_logic::take_cancellation_effects() {
+    auto cancelled = cancellations_.take_effects();
+    std::ranges::move(cancelled.answers, std::back_inserter(effects_.cancellations));
+    route(cancelled.messages);
+}
+
 void dispatch_logic::route(std::vector<addressed_message>& messages) {
     for (auto& item : messages) {
         if (item.host == self()) {
--- a/src/hawthornstall/runs/dispatch_logic.hpp
+++ b/src/hawthornstall/runs/dispatch_logic.hpp
@@ -6,6 +6,7 @@
 #include "hawthornstall/net/link_state.hpp"
 #include "hawthornstall/runs/dispatch_event.hpp"
 #include "hawthornstall/runs/host_membership.hpp"
+#include "hawthornstall/runs/job_cancellations.hpp"
 #include "hawthornstall/runs/job_front_end.hpp"
 #include "hawthornstall/runs/job_scheduler.hpp"
 #include "hawthornstall/runs/target_holder.hpp"
@@ -34,6 +35,7 @@
     std::vector<dispatch_event> events{};
     std::vector<target_call> calls{};
     std::vector<job_answer> answers{};
+    std::vector<cancellation_answer> cancellations{};
     std::map<std::string, std::vector<run_message>, std::less<>> messages{}; ///< By receiver.
 };
 
@@ -77,6 +79,9 @@
     void open(std::uint64_t request, job_request job, core::time_ms arrived, core::time_ms now);
     void caller_left(std::uint64_t request, core::time_ms now);
 
+    /// Takes a caller's request to cancel the job `id`, wherever its own caller waits.
+    void cancel(std::uint64_t request, const std::string& id, core::time_ms now);
+
     /// Takes the answer of a target to a call.
     void answered(const target_call& call, const call_answer& answer, core::time_ms now);
 
@@ -112,6 +117,8 @@
     void on_message(const std::string& from, const host_presence& message, core::time_ms now);
     void on_message(const std::string& from, const revoke_runs& message, core::time_ms now);
     void on_message(const std::string& from, const stop_submission& message, core::time_ms now);
+    void on_message(const std::string& from, const cancel_by_id& message, core::time_ms now);
+    void on_message(const std::string& from, const cancel_result& message, core::time_ms now);
 
     void on_tick(core::time_ms now, core::time_ms wall);
     void end_joint_work(std::string_view peer, core::time_ms now);
@@ -122,11 +129,13 @@
     void take_scheduler_effects();
     void take_holder_effects(core::time_ms now);
     void take_front_end_effects();
+    void take_cancellation_effects();
     void route(std::vector<addressed_message>& messages);
 
     discovery::target_directory directory_;
     host_membership hosts_;
     job_front_end front_end_;
+    job_cancellations cancellations_;
     job_scheduler scheduler_;
     target_holder holder_;
 
--- a/src/hawthornstall/runs/job.hpp
+++ b/src/hawthornstall/runs/job.hpp
@@ -58,9 +58,10 @@
 /// How a job ended.
 enum class job_result : std::uint8_t {
     completed,
-    failed,  ///< A task used up its attempts.
-    refused, ///< No task has run or will run.
-    lost,    ///< No task runs any more, but some may have run.
+    failed,    ///< A task used up its attempts.
+    refused,   ///< No task has run or will run.
+    lost,      ///< No task runs any more, but some may have run.
+    cancelled, ///< A caller asked for the end of the job; no task runs any more.
 };
 
 /// Name of the result in log records.
@@ -72,6 +73,8 @@
         return "failed";
     case job_result::refused:
         return "refused";
+    case job_result::cancelled:
+        return "cancelled";
     case job_result::lost:
         break;
     }
--- a/src/hawthornstall/runs/job_front_end.cpp
+++ b/src/hawthornstall/runs/job_front_end.cpp
@@ -144,6 +144,25 @@
     }
 }
 
+bool job_front_end::cancel(std::string_view id, core::time_ms now) {
+    bool found = false;
+    for (auto position = open_.begin(); position != open_.end();) {
+        if (position->second.job.id != id) {
+            ++position;
+            continue;
+        }
+        found = true;
+        effects_.messages.push_back(
+            {position->second.scheduler, cancel_job{.number = position->first}});
+        position = finish(position,
+                          {.number = position->first,
+                           .result = job_result::cancelled,
+                           .reason = "cancelled at a caller's request"},
+                          now);
+    }
+    return found;
+}
+
 void job_front_end::host_unreachable(std::string_view host, const std::optional<std::string>& next,
                                      core::time_ms now) {
     const auto last = last_number_;
--- a/src/hawthornstall/runs/job_front_end.hpp
+++ b/src/hawthornstall/runs/job_front_end.hpp
@@ -70,6 +70,10 @@
     /// Cancels the job of a caller that has closed its connection.
     void caller_left(std::uint64_t request, core::time_ms now);
 
+    /// Answers the callers that wait here for the job `id` that it is cancelled, and ends their
+    /// submissions. Returns whether there was one.
+    bool cancel(std::string_view id, core::time_ms now);
+
     /// Moves the jobs without a started run to `next`, which schedules from now on.
     void scheduler_changed(const std::string& next, core::time_ms now);
 
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -153,6 +153,18 @@
     }
 }
 
+void job_scheduler::cancel_named(const std::string& host, const cancel_by_id& message,
+                                 core::time_ms now) {
+    const auto found = jobs_.find(message.job);
+    effects_.messages.push_back(
+        {host, cancel_result{.number = message.number, .found = found != jobs_.end()}});
+    if (found != jobs_.end()) {
+        auto& job = found->second;
+        start_ending(job, job_result::cancelled, "cancelled at a caller's request", now);
+        finish_if_complete(job, now);
+    }
+}
+
 void job_scheduler::remove_waiter(job_record& job, const job_waiter& waiter,
                                   std::string_view reason, core::time_ms now) {
     waiters_.erase(waiter);
--- a/src/hawthornstall/runs/job_scheduler.hpp
+++ b/src/hawthornstall/runs/job_scheduler.hpp
@@ -50,6 +50,10 @@
     /// Removes a front end from the waiters of a job. The job ends when nobody waits for it.
     void cancel(const std::string& host, const cancel_job& message, core::time_ms now);
 
+    /// Ends a job at the request of any caller, and tells the front end on `host` whether it was
+    /// known. No task of it starts from then on.
+    void cancel_named(const std::string& host, const cancel_by_id& message, core::time_ms now);
+
     /// Releases the resources of a run and finishes or retries its task.
     void on_run_ended(const run_ended& message, core::time_ms now);
 
--- a/src/hawthornstall/runs/message_traffic.hpp
+++ b/src/hawthornstall/runs/message_traffic.hpp
@@ -19,8 +19,9 @@
 
 /// Kinds of message between entry hosts, in the order of the alternatives of run_message.
 constexpr std::array<std::string_view, std::variant_size_v<run_message>> run_message_names{
-    "submit_job",    "cancel_job",    "job_ended", "start_run",   "stop_run",       "run_ended",
-    "target_report", "host_presence", "grant_run", "revoke_runs", "stop_submission"};
+    "submit_job",      "cancel_job",    "job_ended",     "start_run", "stop_run",
+    "run_ended",       "target_report", "host_presence", "grant_run", "revoke_runs",
+    "stop_submission", "cancel_by_id",  "cancel_result"};
 
 /// Kinds of call to targets, in the order of the alternatives of target_request.
 constexpr std::array<std::string_view, std::variant_size_v<target_request>> target_call_names{
--- a/src/hawthornstall/runs/run_layouts.hpp
+++ b/src/hawthornstall/runs/run_layouts.hpp
@@ -29,7 +29,7 @@
 };
 
 template <> struct layout<runs::job_result> {
-    static constexpr auto last = runs::job_result::lost;
+    static constexpr auto last = runs::job_result::cancelled;
 };
 
 template <> struct layout<runs::run_end> { static constexpr auto last = runs::run_end::declined; };
@@ -54,6 +54,16 @@
     static constexpr auto members = std::tuple{&runs::cancel_job::number};
 };
 
+template <> struct layout<runs::cancel_by_id> {
+    static constexpr auto members =
+        std::tuple{&runs::cancel_by_id::number, &runs::cancel_by_id::job};
+};
+
+template <> struct layout<runs::cancel_result> {
+    static constexpr auto members =
+        std::tuple{&runs::cancel_result::number, &runs::cancel_result::found};
+};
+
 template <> struct layout<runs::job_ended> {
     using type = runs::job_ended;
     static constexpr auto members =
--- a/src/hawthornstall/runs/run_messages.hpp
+++ b/src/hawthornstall/runs/run_messages.hpp
@@ -38,6 +38,19 @@
     std::uint64_t number = 0; ///< Number of the submission.
 };
 
+/// Front end to scheduler: a caller asks for the end of a job, whose own caller may be connected to
+/// another front end. Answered by cancel_result.
+struct cancel_by_id {
+    std::uint64_t number = 0; ///< Unique among the requests of the sender; repeated in the answer.
+    std::string job{};
+};
+
+/// Scheduler to front end: the answer to cancel_by_id.
+struct cancel_result {
+    std::uint64_t number = 0;
+    bool found = false; ///< The job was known; it ends, and its callers get their answers.
+};
+
 /// Scheduler to front end: the result of a job.
 struct job_ended {
     std::uint64_t number = 0; ///< Number of the submission.
@@ -119,9 +132,9 @@
 
 /// Any message between entry hosts. The order of the alternatives is part of the wire format: new
 /// ones go to the end.
-using run_message =
-    std::variant<submit_job, cancel_job, job_ended, start_run, stop_run, run_ended, target_report,
-                 host_presence, grant_run, revoke_runs, stop_submission>;
+using run_message = std::variant<submit_job, cancel_job, job_ended, start_run, stop_run, run_ended,
+                                 target_report, host_presence, grant_run, revoke_runs,
+                                 stop_submission, cancel_by_id, cancel_result>;
 
 /// A message with its receiver, which may be this host.
 struct addressed_message {
--- a/tests/platform/job_codec_test.cpp
+++ b/tests/platform/job_codec_test.cpp
@@ -157,7 +157,8 @@
 TEST_CASE("the status of the answer follows from the result of the job") {
     constexpr std::array cases{
         answer_case{runs::job_result::completed, 200}, answer_case{runs::job_result::failed, 200},
-        answer_case{runs::job_result::refused, 503}, answer_case{runs::job_result::lost, 502}};
+        answer_case{runs::job_result::refused, 503}, answer_case{runs::job_result::lost, 502},
+        answer_case{runs::job_result::cancelled, 200}};
     for (const auto& item : cases) {
         CHECK(answer_to(runs::job_answer{.result = item.result}).status == item.status);
     }
