--- a/src/hawthornstall/control/control_gateway.hpp
+++ b/src/hawthornstall/control/control_gateway.hpp
@@ -153,7 +153,9 @@
 
     void serve(std::uint64_t number, zone_drain_request request) {
         const auto& order = request.order;
-        if (!zones_.empty() && std::ranges::find(zones_, order.zone) == zones_.end()) {
+        // The drain of a zone that is not listed any more can still be ended.
+        if (order.drained && !zones_.empty() &&
+            std::ranges::find(zones_, order.zone) == zones_.end()) {
             serve(number, codec_.unknown_zone(order.zone));
             return;
         }
--- a/src/hawthornstall/net/connection_budget.hpp
+++ b/src/hawthornstall/net/connection_budget.hpp
@@ -13,15 +13,23 @@
 
 namespace hawthornstall::net {
 
-/// Limits on all connections of one server together, and on the time of one request.
+/// Limits on all connections of one server together, and on the time in which a request arrives.
 struct connection_limits {
     /// Bytes that are held for clients: received and not handled yet, or not read by them yet.
     std::size_t max_bytes = std::size_t{64} * 1024 * 1024;
     std::size_t max_connections = 10'000;
     /// From the first byte of a request to its last one. No caller waits that long for an answer.
-    core::duration_ms request_time{30'000};
+    core::duration_ms arrival_time{30'000};
+    /// Counted for each connection beside its bytes: its buffers and the state of its requests.
+    std::size_t connection_bytes = 4'096;
 };
 
+/// Largest body that a server should take: an eighth of what all its connections may hold.
+[[nodiscard]] constexpr std::size_t largest_request(const connection_limits& limits) noexcept {
+    constexpr std::size_t share = 8;
+    return limits.max_bytes / share;
+}
+
 /// Why a connection is closed.
 enum class close_reason : std::uint8_t {
     too_many_bytes,       ///< All connections together hold too much, and this one the most.
@@ -47,16 +55,15 @@
 /// Beyond the limit on bytes, the connections that hold the most are closed first, until seven
 /// eighths of the limit are left. A caller who waits for an answer holds no more than its request,
 /// so it is reached last. Beyond the limit on connections, the one that has been without a request
-/// for the longest makes room; if each has a request, the newest connection is closed.
+/// for the longest makes room, then the one whose request began to arrive first or whose client
+/// does not read its answer. Connections opened in the last second come after these, the oldest
+/// first, and those that wait for an answer last, the newest first.
 class connection_budget {
 public:
     explicit connection_budget(connection_limits limits = {}) : limits_(limits) {}
 
     [[nodiscard]] const connection_limits& limits() const noexcept { return limits_; }
 
-    /// Replaces the limits. Takes effect with the next take_due().
-    void set_limits(const connection_limits& limits) { limits_ = limits; }
-
     void opened(std::uint64_t connection, core::time_ms now);
     void closed(std::uint64_t connection);
 
@@ -76,9 +83,15 @@
     /// The connections to close now, each once.
     [[nodiscard]] std::vector<due_close> take_due(core::time_ms now);
 
-    /// Bytes that all connections hold.
+    /// Bytes that count as received on a connection.
+    [[nodiscard]] std::size_t received_by(std::uint64_t connection) const;
+
+    /// Bytes that all connections hold which are not being closed.
     [[nodiscard]] std::size_t held_bytes() const noexcept { return held_bytes_; }
-    [[nodiscard]] std::size_t connections() const noexcept { return connections_.size(); }
+    /// Connections that are not being closed.
+    [[nodiscard]] std::size_t connections() const noexcept {
+        return connections_.size() - closing_;
+    }
 
 private:
     enum class phase : std::uint8_t {
@@ -89,26 +102,35 @@
 
     struct connection_state {
         phase current = phase::idle;
-        core::time_ms since{}; ///< When the phase began.
+        core::time_ms opened{};
+        core::time_ms since{}; ///< When it was opened, answered, or its request began to arrive.
         std::size_t received = 0;
         std::size_t unsent = 0;
         bool closing = false; ///< It was returned by take_due().
 
         [[nodiscard]] std::size_t held() const noexcept { return received + unsent; }
+
+        /// Position in the order in which connections are closed when there are too many.
+        [[nodiscard]] phase rank() const noexcept {
+            // A client that does not read its answer does not wait for it.
+            return current == phase::open && unsent > 0 ? phase::receiving : current;
+        }
     };
 
     using connection_map = std::map<std::uint64_t, connection_state>;
 
     /// Replaces one of the amounts that a connection holds.
-    void set(std::size_t& amount, std::size_t bytes);
+    void set(connection_state& state, std::size_t& amount, std::size_t bytes);
     void close(connection_map::value_type& item, close_reason reason, std::vector<due_close>& due);
+    [[nodiscard]] std::vector<connection_map::value_type*> open_connections();
     void close_slow(core::time_ms now, std::vector<due_close>& due);
     void close_largest(std::vector<due_close>& due);
-    void close_surplus(std::vector<due_close>& due);
+    void close_surplus(core::time_ms now, std::vector<due_close>& due);
 
     connection_limits limits_;
     connection_map connections_; ///< By number, so in the order in which they were opened.
     std::size_t held_bytes_ = 0;
+    std::size_t closing_ = 0; ///< Connections that were returned and are not closed yet.
 };
 
 } // namespace hawthornstall::net
--- a/src/hawthornstall/net/http_connections.cpp
+++ b/src/hawthornstall/net/http_connections.cpp
@@ -7,7 +7,8 @@
 
 #include <algorithm>
 #include <new>
-#include <sys/socket.h>
+#include <string_view>
+#include <vector>
 
 namespace hawthornstall::net {
 namespace detail {
@@ -24,6 +25,28 @@
     return limit + std::min(limit, max_evhttp_margin);
 }
 
+/// What evhttp needs for a header beside its text.
+constexpr std::size_t line_bytes = 112;
+
+/// Number of line ends in the last `bytes` of `buffer`.
+std::size_t count_lines(evbuffer* buffer, std::size_t bytes) {
+    evbuffer_ptr position{};
+    const auto length = evbuffer_get_length(buffer);
+    if (evbuffer_ptr_set(buffer, &position, length - std::min(length, bytes), EVBUFFER_PTR_SET) !=
+        0) {
+        return 0;
+    }
+    const int count = evbuffer_peek(buffer, -1, &position, nullptr, 0);
+    std::vector<evbuffer_iovec> blocks(static_cast<std::size_t>(std::max(count, 0)));
+    (void)evbuffer_peek(buffer, -1, &position, blocks.data(), count);
+    std::size_t lines = 0;
+    for (const auto& block : blocks) {
+        const std::string_view text{static_cast<const char*>(block.iov_base), block.iov_len};
+        lines += static_cast<std::size_t>(std::ranges::count(text, '\n'));
+    }
+    return lines;
+}
+
 timeval to_timeval(core::duration_ms time) {
     constexpr core::duration_ms::rep ms_per_second = 1000;
     return {.tv_sec = time.count() / ms_per_second,
@@ -61,16 +84,18 @@
         server_, static_cast<ev_ssize_t>(detail::evhttp_limit(requests_.max_header_bytes)));
     evhttp_set_max_body_size(
         server_, static_cast<ev_ssize_t>(detail::evhttp_limit(requests_.max_body_bytes)));
-    for (const auto& [number, item] : connections_) {
+    for (auto& [number, item] : connections_) {
         apply_limits(item);
     }
 }
 
-void http_connections::apply_limits(const connection& item) const {
+void http_connections::apply_limits(connection& item) const {
     const auto header_bytes = detail::evhttp_limit(requests_.max_header_bytes);
     const auto body_bytes = detail::evhttp_limit(requests_.max_body_bytes);
-    // evhttp handles a body only once all of it is in the buffer.
-    bufferevent_setwatermark(item.socket, EV_READ, 0, header_bytes + body_bytes);
+    // evhttp handles a body only once all of it is in the buffer. A request that has begun may be
+    // as large as before.
+    item.read_limit = std::max(item.read_limit, header_bytes + body_bytes);
+    bufferevent_setwatermark(item.socket, EV_READ, 0, item.read_limit);
     if (item.native != nullptr) {
         const auto timeout = detail::to_timeval(requests_.idle_time);
         evhttp_connection_set_timeout_tv(item.native, &timeout);
@@ -121,19 +146,30 @@
         bufferevent_getcb(item.socket, nullptr, nullptr, nullptr, &native);
         item.native = static_cast<evhttp_connection*>(native);
         evhttp_connection_set_closecb(item.native, &http_connections::on_closed, &item);
+        apply_limits(item);
         last_adopted_ = item.number;
     }
 }
 
-void http_connections::on_input_changed(evbuffer* /*buffer*/, const evbuffer_cb_info* change,
+void http_connections::on_input_changed(evbuffer* buffer, const evbuffer_cb_info* change,
                                         void* argument) {
     const auto& item = *static_cast<connection*>(argument);
     if (change->n_added > 0) {
-        item.owner->budget_.received(item.number, change->n_added, core::ms_clock::now());
+        item.owner->add_received(item, buffer, change->n_added);
         item.owner->check_soon();
     }
 }
 
+/// Counts bytes that have arrived, which are the last ones in `buffer`. evhttp keeps each line of
+/// the headers in three blocks of memory, whatever its length.
+void http_connections::add_received(const connection& item, evbuffer* buffer, std::size_t bytes) {
+    auto cost = bytes;
+    if (budget_.received_by(item.number) < detail::evhttp_limit(requests_.max_header_bytes)) {
+        cost += detail::line_bytes * detail::count_lines(buffer, bytes);
+    }
+    budget_.received(item.number, cost, core::ms_clock::now());
+}
+
 void http_connections::on_output_changed(evbuffer* buffer, const evbuffer_cb_info* change,
                                          void* argument) {
     const auto& item = *static_cast<connection*>(argument);
@@ -194,6 +230,8 @@
 }
 
 void http_connections::close_due() {
+    // Connections are closed through evhttp, which must have made them.
+    adopt_new();
     for (const auto& due : budget_.take_due(core::ms_clock::now())) {
         if (observer_) {
             observer_(due);
@@ -202,13 +240,11 @@
     }
 }
 
-/// Lets libevent notice the end of the connection, after which evhttp frees it.
+/// Reports an error on the socket, after which evhttp frees the connection as when its client has
+/// gone. Nothing more is read: evhttp would take it for the rest of the request.
 void http_connections::shut_down(const connection& item) {
-    // Reading goes on, and meets the end, only once the buffer is below its limit.
-    evbuffer* const input = bufferevent_get_input(item.socket);
-    evbuffer_drain(input, evbuffer_get_length(input));
-    bufferevent_enable(item.socket, EV_READ);
-    (void)shutdown(bufferevent_getfd(item.socket), SHUT_RDWR);
+    bufferevent_disable(item.socket, EV_READ | EV_WRITE);
+    bufferevent_trigger_event(item.socket, BEV_EVENT_ERROR, BEV_TRIG_DEFER_CALLBACKS);
 }
 
 } // namespace hawthornstall::net
--- a/src/hawthornstall/net/http_connections.hpp
+++ b/src/hawthornstall/net/http_connections.hpp
@@ -34,8 +34,8 @@
 };
 
 /// Keeps account of the connections that an evhttp server accepts. Reading from a connection stops
-/// while as much as one request may have waits to be handled, so a client that sends requests ahead
-/// is slowed down. All members are accessed only on the thread of the event loop.
+/// while the unhandled input amounts to the maximum size of one request, so a client that sends
+/// requests ahead is slowed down. All members are accessed only on the thread of the event loop.
 class http_connections {
 public:
     /// Is told which connection was closed by its client or by this process.
@@ -57,7 +57,7 @@
     /// Replaces the limits of open connections and of new ones.
     void set_limits(const request_limits& requests);
 
-    /// Number of the connection that a request came on; numbers count from 1.
+    /// Number of the connection that a request came on; numbers count from 1, 0 is unknown.
     [[nodiscard]] std::uint64_t number_of(evhttp_request* request) const;
 
     /// A request has arrived completely on a connection.
@@ -76,6 +76,7 @@
         evhttp_connection* native = nullptr; ///< Null until adopt_new() has run.
         evbuffer_cb_entry* on_input = nullptr;
         evbuffer_cb_entry* on_output = nullptr;
+        std::size_t read_limit = 0; ///< Bytes in the input buffer at which reading stops.
     };
     struct event_deleter {
         void operator()(event* handle) const noexcept;
@@ -92,7 +93,8 @@
 
     [[nodiscard]] bufferevent* add(event_base* base);
     void adopt_new();
-    void apply_limits(const connection& item) const;
+    void apply_limits(connection& item) const;
+    void add_received(const connection& item, evbuffer* buffer, std::size_t bytes);
     void remove(std::uint64_t number);
     /// Schedules a check at the end of this iteration of the event loop if a limit is exceeded.
     void check_soon();
--- a/src/hawthornstall/net/http_server.cpp
+++ b/src/hawthornstall/net/http_server.cpp
@@ -18,6 +18,10 @@
 
 constexpr int listen_backlog = 4096;
 
+/// Pause after a connection could not be accepted, for example for want of descriptors. It stays in
+/// the queue, so that the event loop would try again at once and for ever.
+constexpr core::duration_ms accept_pause{100};
+
 /// Every method is passed to the handler, which answers unsupported ones with a JSON error.
 constexpr ev_uint16_t all_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                                     EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
@@ -151,10 +155,21 @@
         evconnlistener_free(listener);
         return core::make_error(absl::StatusCode::kInternal, origin, "evhttp refused the listener");
     }
+    evconnlistener_set_error_cb(listener, &http_server::on_accept_error);
     address_ = local_address(evconnlistener_get_fd(listener));
     return absl::OkStatus();
 }
 
+void http_server::on_accept_error(evconnlistener* listener, void* argument) {
+    auto& self = *static_cast<http_server*>(argument);
+    evconnlistener_disable(listener);
+    self.accept_again_event_ = self.loop_.after(detail::accept_pause, [&self, listener] {
+        if (self.listener_ != nullptr) {
+            evconnlistener_enable(listener);
+        }
+    });
+}
+
 void http_server::on_request(evhttp_request* native, void* argument) {
     static_cast<http_server*>(argument)->receive(native);
 }
@@ -198,7 +213,7 @@
         return;
     }
     const std::uint64_t number = ++last_number_;
-    open_[number] = {.number = number, .connection = connection, .native = native};
+    open_[number] = {.number = number, .native = native};
     request_of_[connection] = number;
     ++counts_.requests;
     handler_(make_request_view(number, native));
--- a/src/hawthornstall/net/http_server.hpp
+++ b/src/hawthornstall/net/http_server.hpp
@@ -16,6 +16,7 @@
 #include <string_view>
 #include <unordered_map>
 
+struct evconnlistener;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_connection;
@@ -24,8 +25,8 @@
 namespace hawthornstall::net {
 
 /// Limits of one server. A request beyond a limit gets a JSON error and does not reach the handler.
-/// Far beyond it, headers and bodies are not read to their end: evhttp answers with its own error
-/// page and closes the connection, a body whose length is announced before it is read.
+/// Far beyond it, evhttp answers with its own error page and closes the connection. It does so
+/// without reading a body whose length is announced.
 struct http_server_limits {
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     std::size_t max_body_bytes = std::size_t{1024} * 1024;
@@ -133,7 +134,6 @@
     /// A request whose answer has not been written completely.
     struct open_request {
         std::uint64_t number = 0;
-        std::uint64_t connection = 0;
         evhttp_request* native = nullptr;
         bool client_disconnected = false;
         bool answer_sent = false;
@@ -142,7 +142,8 @@
         void operator()(evhttp* server) const noexcept;
     };
 
-    // Callbacks of evhttp; `argument` is the http_server.
+    // Callbacks of evhttp and its listener; `argument` is the http_server.
+    static void on_accept_error(evconnlistener* listener, void* argument);
     static void on_request(evhttp_request* native, void* argument);
     static void on_answer_written(evhttp_request* native, void* argument);
 
@@ -176,6 +177,7 @@
     std::function<void(std::uint64_t)> disconnect_handler_;
     std::function<void(int, std::string_view)> refusal_observer_;
     runtime::event_handle idle_event_;
+    runtime::event_handle accept_again_event_;
     http_server_counts counts_;
 };
 
--- a/src/hawthornstall/net/peer_links.cpp
+++ b/src/hawthornstall/net/peer_links.cpp
@@ -17,7 +17,7 @@
 /// the kernel's coarse clock, 4 ms, and the ping would be one interval too early.
 constexpr core::duration_ms ping_phase{5};
 
-/// Most links, listed or not. Twice the hosts of the largest deployment planned for; beyond it no
+/// Most links, listed or not. The largest deployment has a hundred hosts; beyond this number no
 /// unlisted sender is linked to, so that forged names do not use up the memory.
 constexpr std::size_t max_links = 1'024;
 
@@ -125,6 +125,7 @@
         ++counters_.malformed;
         return false;
     }
+    senders_[connection] = {envelope->sender, envelope->incarnation};
     auto& sender_link = *sender;
     const auto received = sender_link.state.receive(*envelope, connection, now);
     if (!received.accepted) {
@@ -152,11 +153,11 @@
 }
 
 bool peer_links::complete_sender(std::uint64_t connection, peer_envelope& envelope) {
+    const auto known = senders_.find(connection);
     if (!envelope.sender.empty()) {
-        senders_[connection] = {envelope.sender, envelope.incarnation};
-        return true;
+        // A connection has one sender, so that forged names cost a connection each.
+        return known == senders_.end() || known->second.name == envelope.sender;
     }
-    const auto known = senders_.find(connection);
     if (known == senders_.end()) {
         return false;
     }
--- a/src/hawthornstall/net/peer_listener.cpp
+++ b/src/hawthornstall/net/peer_listener.cpp
@@ -77,6 +77,18 @@
     bufferevent_setcb(added.socket.get(), &peer_listener::on_readable, nullptr,
                       &peer_listener::on_event, &added);
     bufferevent_enable(added.socket.get(), EV_READ);
+    limit_unknown_connections();
+}
+
+void peer_listener::limit_unknown_connections() {
+    const auto is_unknown = [](const auto& item) {
+        return !item.second.is_known;
+    };
+    if (connections_.size() > max_unknown_connections &&
+        std::ranges::count_if(connections_, is_unknown) >
+            static_cast<std::ptrdiff_t>(max_unknown_connections)) {
+        connections_.erase(std::ranges::find_if(connections_, is_unknown));
+    }
 }
 
 void peer_listener::on_readable(bufferevent* /*socket*/, void* argument) {
--- a/src/hawthornstall/net/peer_listener.hpp
+++ b/src/hawthornstall/net/peer_listener.hpp
@@ -28,6 +28,9 @@
     /// connection may stay open.
     using message_handler = std::function<bool(std::uint64_t, std::string_view)>;
 
+    /// Most connections without an accepted message; beyond it the oldest is closed.
+    static constexpr std::size_t max_unknown_connections = 256;
+
     /// Default limit on what connections hold together before their first message has been
     /// accepted. The first message of a peer may be a configuration of some MB.
     static constexpr std::size_t default_unknown_bytes = std::size_t{16} * 1024 * 1024;
@@ -81,6 +84,7 @@
     void add(int descriptor);
     /// Passes on the complete messages of a connection. Returns whether it may stay open.
     [[nodiscard]] bool read_messages(connection& from);
+    void limit_unknown_connections();
     /// Closes connections without an accepted message while these hold too much.
     void limit_unknown_bytes();
 
@@ -90,7 +94,7 @@
     std::unique_ptr<evconnlistener, listener_deleter> listener_;
     runtime::event_handle accept_again_event_;
     std::uint64_t last_number_ = 0;
-    std::map<std::uint64_t, connection> connections_; ///< By number.
+    std::map<std::uint64_t, connection> connections_; ///< By number, so the oldest first.
 };
 
 } // namespace hawthornstall::net
--- a/src/hawthornstall/runs/capacity_pool.cpp
+++ b/src/hawthornstall/runs/capacity_pool.cpp
@@ -26,9 +26,13 @@
 /// From the grant of a run to its end at the scheduler, beside the run itself: calls and messages.
 constexpr core::duration_ms message_time{10};
 
+/// A cold target is taken to be this many times as slow, as in pooled_target::order_class().
+constexpr double cold_slowness = 1.5;
+
 /// Expected time from the grant of a task to its end.
 core::duration_ms duration_on(const pooled_target& item, const job_step& step) {
-    const auto run = item.slowness * static_cast<double>(step.estimated.count());
+    const auto cold_factor = item.target.cold ? cold_slowness : 1.0;
+    const auto run = cold_factor * item.slowness * static_cast<double>(step.estimated.count());
     return message_time + core::duration_ms{static_cast<core::duration_ms::rep>(run)};
 }
 
@@ -109,6 +113,7 @@
 void capacity_pool::add_usable_cpu(const pooled_target& item, std::int64_t sign) {
     if (item.is_usable()) {
         usable_cpu_[item.target.service] += sign * item.target.capacity.cpu_millis;
+        usable_targets_[item.target.service] += sign;
     }
 }
 
@@ -180,9 +185,9 @@
     const auto& target = item.target;
     const auto& wanted = request.step->resources;
     const bool is_possible =
-        item.is_usable() && now >= item.ejected_until && item.health.max_in_flight() > 0 &&
-        target.service == request.service && target.capacity.holds(wanted) &&
-        detail::has_label(target, request.step->required_label) &&
+        item.is_usable() && now >= item.ejected_until &&
+        item.running < item.health.max_in_flight() && target.service == request.service &&
+        target.capacity.holds(wanted) && detail::has_label(target, request.step->required_label) &&
         std::ranges::find(request.excluded, target.id) == request.excluded.end();
     if (!is_possible) {
         return std::nullopt;
@@ -407,6 +412,11 @@
     });
 }
 
+std::size_t capacity_pool::usable_targets(std::string_view service) const {
+    const auto found = usable_targets_.find(service);
+    return found == usable_targets_.end() ? 0 : static_cast<std::size_t>(found->second);
+}
+
 std::int64_t capacity_pool::usable_cpu_millis(std::string_view service) const {
     const auto found = usable_cpu_.find(service);
     return found == usable_cpu_.end() ? 0 : found->second;
--- a/src/hawthornstall/runs/capacity_pool.hpp
+++ b/src/hawthornstall/runs/capacity_pool.hpp
@@ -125,6 +125,9 @@
     /// Whether an empty target of the service could run a task of `step`.
     [[nodiscard]] bool fits_empty_target(std::string_view service, const job_step& step) const;
 
+    /// Number of usable targets of a service.
+    [[nodiscard]] std::size_t usable_targets(std::string_view service) const;
+
     /// Total processor capacity of the usable targets of a service, in thousandths of a core.
     [[nodiscard]] std::int64_t usable_cpu_millis(std::string_view service) const;
 
@@ -158,7 +161,8 @@
     free_target_order order_;
     target_groups by_holder_;
     target_groups by_label_;
-    std::map<std::string, std::int64_t, std::less<>> usable_cpu_; ///< By service.
+    std::map<std::string, std::int64_t, std::less<>> usable_cpu_;     ///< By service.
+    std::map<std::string, std::int64_t, std::less<>> usable_targets_; ///< By service.
     std::optional<core::time_ms> first_report_;
     std::uint64_t targets_examined_ = 0;
 };
--- a/src/hawthornstall/runs/detail/dispatch_host_messages.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_messages.hpp
@@ -41,7 +41,6 @@
     retry_early_requests(now());
 }
 
-<<<<<<< HEAD
 /// Passes the drained zones on when they have changed.
 template <dispatch_codec Codec> void dispatch_host<Codec>::apply_drains(std::string_view host) {
     const auto& drains = documents_.drains();
@@ -57,22 +56,27 @@
              .peer = std::string{host},
              .detail = "drained zones: " + (zones.empty() ? "none" : zones) + ", revision " +
                        std::to_string(drains.revision)});
-=======
+}
+
 /// Applies the limits of the configuration to callers; what it does not state keeps its default.
 template <dispatch_codec Codec> void dispatch_host<Codec>::apply_caller_limits() {
+    // Smaller ones would refuse every caller.
+    constexpr std::uint64_t smallest_bytes = 1'024;
+    constexpr core::duration_ms shortest_idle_time{1'000};
     const auto& stated = routes_.limits;
     const auto& defaults = options_.limits;
-    // One request may not take more than an eighth of what all callers together may hold.
-    constexpr std::size_t largest_share = 8;
-    const auto largest = defaults.connections.max_bytes / largest_share;
+    const auto largest = net::largest_request(defaults.connections);
     const auto choose = [&](std::uint64_t value, std::size_t by_default) {
-        return value == 0 ? by_default : std::min<std::size_t>(value, largest);
+        return value == 0 ? by_default
+                          : static_cast<std::size_t>(
+                                std::clamp<std::uint64_t>(value, smallest_bytes, largest));
     };
     caller_server_->set_request_limits(
         {.max_header_bytes = choose(stated.max_header_bytes, defaults.max_header_bytes),
          .max_body_bytes = choose(stated.max_body_bytes, defaults.max_body_bytes),
-         .idle_time = stated.idle_time.count() == 0 ? defaults.read_timeout : stated.idle_time});
->>>>>>> clients
+         .idle_time = stated.idle_time.count() == 0
+                          ? defaults.read_timeout
+                          : std::max(stated.idle_time, shortest_idle_time)});
 }
 
 template <dispatch_codec Codec>
--- a/src/hawthornstall/runs/dispatch_host.hpp
+++ b/src/hawthornstall/runs/dispatch_host.hpp
@@ -82,19 +82,18 @@
     void serve(arrived_request request, job_request&& job);
     void serve(arrived_request request, const count_query& query);
     void serve(arrived_request request, const job_query& query);
+    void serve(arrived_request request, const job_cancellation& cancellation);
     void send_answer(std::uint64_t request, const caller_answer& answer);
     void answer_readiness(const net::http_request& request);
     void answer_caller(const job_answer& answer);
+    void answer_cancellation(const cancellation_answer& answer);
 
     void receive(std::string_view peer, std::string_view body);
     void receive_from_control(std::string_view host, std::string_view body);
     void on_link_change(std::string_view peer, net::link_change change);
     void on_control_message(std::string_view host, const control::config_delta& delta);
-<<<<<<< HEAD
     void apply_drains(std::string_view host);
-=======
     void apply_caller_limits();
->>>>>>> clients
     void on_control_message(std::string_view host, const control::config_digest& digest);
     void on_control_message(std::string_view host, const discovery::host_list& list);
     void on_control_message(std::string_view host, const discovery::target_updates& updates);
--- a/src/hawthornstall/runs/job_scheduler.cpp
+++ b/src/hawthornstall/runs/job_scheduler.cpp
@@ -10,6 +10,10 @@
 /// target beside its tasks is too small for another one.
 constexpr double fillable_share = 0.8;
 
+/// A job that is older when it arrives comes from another scheduler, together with all others that
+/// were open there. These say nothing about the rate at which work arrives.
+constexpr core::duration_ms resubmission_age{200};
+
 using phase = task_record::phase;
 
 /// Time that `cpu_millis` thousandths of a core need for `work`, but at most `limit`.
@@ -51,8 +55,10 @@
         return;
     }
     auto& queue = queues_[job.request.terms.service];
-    queue.arrivals.add(job.pending_work, now);
-    queue.arrivals_by_objective.add(job.due - job.arrived, job.pending_work, now);
+    if (message.age < detail::resubmission_age) {
+        queue.arrivals.add(job.pending_work, now);
+        queue.arrivals_by_objective.add(job.due - job.arrived, job.pending_work, now);
+    }
     queue.pending.update(job, now);
 }
 
@@ -80,7 +86,7 @@
     }
 }
 
-std::string_view job_scheduler::reason_to_refuse(const job_record& job, core::time_ms now) const {
+std::string job_scheduler::reason_to_refuse(const job_record& job, core::time_ms now) const {
     if (!knows_capacity(now)) {
         // The free capacity is not known yet, so only jobs that no capacity could save are refused.
         return is_infeasible(job, now) ? "the deadline would pass before the end" : "";
@@ -94,12 +100,24 @@
     if (is_infeasible(job, now)) {
         return "the deadline would pass before the end";
     }
-    if (is_infeasible(job, now + expected_wait(job, now))) {
-        return "the queue is longer than the deadline";
+    const auto wait = expected_wait(job, now);
+    if (is_infeasible(job, now + wait)) {
+        return "the queue is longer than the deadline; " + describe_forecast(job, wait);
     }
     return {};
 }
 
+/// What a refusal is based on, for the log.
+std::string job_scheduler::describe_forecast(const job_record& job, core::duration_ms wait) const {
+    constexpr std::int64_t millis_per_core = 1'000;
+    const auto& service = job.request.terms.service;
+    const auto queue = queues_.find(service);
+    const auto pending = queue == queues_.end() ? 0 : queue->second.pending.pending_work();
+    return "forecast to wait " + std::to_string(wait.count()) + " ms, " +
+           std::to_string(pool_.usable_cpu_millis(service) / millis_per_core) + " cores usable, " +
+           std::to_string(pending / (millis_per_core * millis_per_core)) + " core seconds pending";
+}
+
 /// Whether this host schedules and all lease holders have had time to report since the first report
 /// arrived.
 bool job_scheduler::knows_capacity(core::time_ms now) const {
@@ -146,10 +164,15 @@
 /// A late job waits for all other pending jobs and for those that arrive in the meantime.
 core::duration_ms job_scheduler::expected_wait_when_late(const job_record& job,
                                                          core::time_ms now) const {
-    const auto& queue = queues_.at(job.request.terms.service);
-    return detail::time_for(queue.pending.pending_work() - job.pending_work,
-                            fillable_cpu_millis(job.request.terms.service) -
-                                queue.arrivals.cpu_millis(now),
+    const auto& service = job.request.terms.service;
+    const auto found = queues_.find(service);
+    if (found == queues_.end()) {
+        return expected_wait(job, now);
+    }
+    const auto& queue = found->second;
+    const auto own_work = job.position.is_queued ? job.pending_work : 0;
+    return detail::time_for(queue.pending.pending_work() - own_work,
+                            fillable_cpu_millis(service) - queue.arrivals.cpu_millis(now),
                             job.request.terms.deadline);
 }
 
@@ -167,6 +190,30 @@
     }
 }
 
+void job_scheduler::cancel_named(const std::string& host, const cancel_by_id& message,
+                                 core::time_ms now) {
+    const auto found = jobs_.find(message.job);
+    effects_.messages.push_back(
+        {host, cancel_result{.number = message.number, .found = found != jobs_.end()}});
+    if (found == jobs_.end()) {
+        return;
+    }
+    auto& job = found->second;
+    constexpr std::string_view reason = "cancelled at a caller's request";
+    start_ending(job, job_result::cancelled, reason, now);
+    // The callers are told at once, and not after the last run has ended: until then their front
+    // ends would submit the job again if they lost this host. A job that was ending for another
+    // reason must not come back either.
+    job.result = job_result::cancelled;
+    job.reason = reason;
+    answer(job, now);
+    for (const auto& waiter : job.waiters) {
+        waiters_.erase(waiter);
+    }
+    job.waiters.clear();
+    finish_if_complete(job, now);
+}
+
 void job_scheduler::remove_waiter(job_record& job, const job_waiter& waiter,
                                   std::string_view reason, core::time_ms now) {
     waiters_.erase(waiter);
@@ -299,6 +346,8 @@
         job.result = job_result::completed;
     }
     answer(job, now);
+    effects_.events.push_back(
+        {"job_ended", job.request.id, std::string{to_string(job.result)}, now - job.arrived});
     queue_of(job).erase(job);
     for (const auto& waiter : job.waiters) {
         waiters_.erase(waiter);
@@ -315,8 +364,6 @@
                                                             .retry_after = retry_after,
                                                             .reason = job.reason}});
     }
-    effects_.events.push_back(
-        {"job_ended", job.request.id, std::string{to_string(job.result)}, now - job.arrived});
 }
 
 std::vector<status::job_row> job_scheduler::rows(core::time_ms now) const {
--- a/src/hawthornstall/runs/job_scheduler.hpp
+++ b/src/hawthornstall/runs/job_scheduler.hpp
@@ -55,6 +55,10 @@
     /// Removes a front end from the waiters of a job. The job ends when nobody waits for it.
     void cancel(const std::string& host, const cancel_job& message, core::time_ms now);
 
+    /// Ends a job at the request of any caller, and tells the front end on `host` whether it was
+    /// known. No task of it starts from then on.
+    void cancel_named(const std::string& host, const cancel_by_id& message, core::time_ms now);
+
     /// Releases the resources of a run and finishes or retries its task.
     void on_run_ended(const run_ended& message, core::time_ms now);
 
@@ -118,8 +122,15 @@
     /// State of one round of placement of one service.
     struct placement_round {
         std::vector<unmet_request> unmet{};
-        bool is_restricted = false; ///< A task before has a reservation.
+        bool is_restricted = false; ///< Tasks before are waiting; their reservations count.
         std::size_t blocked = 0;    ///< Tasks that only reservations have kept from a target.
+        std::size_t searches = 0;   ///< Searches for a target to reserve.
+    };
+
+    enum class placement_result : std::uint8_t {
+        started,
+        blocked, ///< Only reservations keep the task from a target.
+        unmet,   ///< It fits nowhere.
     };
 
     [[nodiscard]] bool knows_capacity(core::time_ms now) const;
@@ -129,18 +140,20 @@
     [[nodiscard]] core::duration_ms retry_delay(const job_record& job, core::time_ms now);
     [[nodiscard]] core::duration_ms expected_wait_when_late(const job_record& job,
                                                             core::time_ms now) const;
-    [[nodiscard]] std::string_view reason_to_refuse(const job_record& job, core::time_ms now) const;
+    [[nodiscard]] std::string reason_to_refuse(const job_record& job, core::time_ms now) const;
+    [[nodiscard]] std::string describe_forecast(const job_record& job,
+                                                core::duration_ms wait) const;
     [[nodiscard]] pending_jobs& queue_of(const job_record& job);
     void review(job_record& job, core::time_ms now);
     void place_jobs(std::string_view service, service_queue& queue, core::time_ms now);
     void place_tasks(job_record& job, service_queue& queue, placement_round& round,
                      core::time_ms now);
-    void note_unmet(const job_record& job, std::size_t index, service_queue& queue,
-                    placement_round& round, core::time_ms now);
+    void drop_outdated_reservations(service_queue& queue);
     void reserve_target(const job_record& job, std::size_t index, service_queue& queue,
-                        core::time_ms now);
-    [[nodiscard]] bool place_task(job_record& job, std::size_t index, service_queue& queue,
-                                  const placement_round& round, core::time_ms now);
+                        placement_round& round, core::time_ms now);
+    [[nodiscard]] placement_result place_task(job_record& job, std::size_t index,
+                                              service_queue& queue, const placement_round& round,
+                                              core::time_ms now);
     void start_task(job_record& job, std::size_t index, placement&& chosen, service_queue& queue,
                     core::time_ms now);
     [[nodiscard]] std::string describe_reservations();
--- a/src/hawthornstall/runs/job_scheduler_placement.cpp
+++ b/src/hawthornstall/runs/job_scheduler_placement.cpp
@@ -18,19 +18,21 @@
 /// Interval between two searches for overdue runs.
 constexpr core::duration_ms overdue_interval{100};
 
-/// Waiting tasks that only reservations have kept from a target, after which a round of placement
-/// ends: in a burst thousands of tasks wait, and each try costs time.
+/// Waiting tasks of a round that may be tried although only reservations keep them from a target:
+/// in a burst thousands of tasks wait, and each try costs time.
 constexpr std::size_t max_blocked_tasks = 32;
 
 /// A reserved target that will be free this much later than forecast keeps its reservation.
 constexpr core::duration_ms accepted_delay{10};
 
-/// Most reservations of one service: a sixteenth of the tasks of the size that the targets hold, so
-/// that wrong forecasts leave little capacity unused.
-std::size_t max_reservations(std::int64_t usable_cpu_millis, const core::resources& wanted) {
-    constexpr std::int64_t share = 16;
-    const auto tasks = usable_cpu_millis / std::max<std::int64_t>(wanted.cpu_millis, 1);
-    return static_cast<std::size_t>(std::max<std::int64_t>(tasks / share, 1));
+/// Searches for a target to reserve in one round. A search looks at all targets.
+constexpr std::size_t max_searches = 4;
+
+/// Most reservations of one service: a sixteenth of its usable targets, so that wrong forecasts
+/// leave little capacity unused.
+std::size_t max_reservations(std::size_t usable_targets) {
+    constexpr std::size_t share = 16;
+    return std::max<std::size_t>(usable_targets / share, 1);
 }
 
 using phase = task_record::phase;
@@ -94,9 +96,10 @@
     finish_if_complete(job, now);
 }
 
-/// Starts tasks in the order of their jobs until no target can take any pending task.
+/// Starts tasks in the order of their jobs until no target has room for the smallest pending task.
 void job_scheduler::place_jobs(std::string_view service, service_queue& queue, core::time_ms now) {
     placement_round round;
+    drop_outdated_reservations(queue);
     auto& pending = queue.pending;
     auto* job = pending.first();
     while (job != nullptr) {
@@ -107,14 +110,22 @@
         if (job->pending_tasks != pending_before) {
             pending.update(*job, now);
         }
-        const bool is_full = round.unmet.size() > unmet_before &&
-                             !pool_.has_free_target(service, pending.smallest_request(), now);
-        if (is_full || round.blocked > detail::max_blocked_tasks) {
-            break;
+        if (round.unmet.size() > unmet_before &&
+            !pool_.has_free_target(service, pending.smallest_request(), now)) {
+            return;
         }
         job = next;
     }
-    queue.reserved.end_round();
+    queue.reserved.drop_unused();
+}
+
+/// Drops the reservations of tasks that do not wait any more.
+void job_scheduler::drop_outdated_reservations(service_queue& queue) {
+    queue.reserved.begin_round([&](const waiting_task& task, const reservation& item) {
+        const auto job = jobs_.find(item.job);
+        return job == jobs_.end() || job->second.number != task.first || job->second.ending ||
+               job->second.tasks.at(task.second).state != detail::phase::pending;
+    });
 }
 
 /// Starts pending tasks of one job until one of them fits nowhere; resource requests that failed
@@ -132,63 +143,64 @@
             return step.resources.holds(known.resources) &&
                    (known.label.empty() || known.label == step.required_label);
         });
-        if (is_unmet) {
-            reserve_target(job, index, queue, now);
-            return;
+        const auto result =
+            is_unmet ? placement_result::unmet : place_task(job, index, queue, round, now);
+        if (result == placement_result::started) {
+            continue;
         }
-        if (!place_task(job, index, queue, round, now)) {
-            note_unmet(job, index, queue, round, now);
-            return;
+        // A limit per target applies to this job alone: tasks of other jobs may still fit. A task
+        // that only reservations block does not speak for shorter ones of its size.
+        if (result == placement_result::blocked && round.blocked < detail::max_blocked_tasks) {
+            ++round.blocked;
+        } else if (!is_unmet && step.max_per_target == 0) {
+            round.unmet.push_back({step.required_label, step.resources});
         }
+        reserve_target(job, index, queue, round, now);
+        return;
     }
 }
 
-/// Takes note that a task fits nowhere, or nowhere beside the reservations.
-void job_scheduler::note_unmet(const job_record& job, std::size_t index, service_queue& queue,
-                               placement_round& round, core::time_ms now) {
-    const auto& step = job.request.steps[job.tasks[index].step];
-    const auto& service = job.request.terms.service;
-    if (round.is_restricted && pool_.has_free_target(service, step.resources, now)) {
-        // A shorter task of this size may still end before a reserved start.
-        ++round.blocked;
-    } else if (step.max_per_target == 0) {
-        // A limit per target applies to this job alone: tasks of other jobs may still fit.
-        round.unmet.push_back({step.required_label, step.resources});
-    }
-    reserve_target(job, index, queue, now);
-    round.is_restricted = queue.reserved.size() > 0;
-}
-
 /// Reserves the target on which a waiting task is forecast to fit first, or keeps the one that the
-/// task has unless it will be free later than was forecast.
+/// task has unless it will be free later than was forecast and another one earlier.
 void job_scheduler::reserve_target(const job_record& job, std::size_t index, service_queue& queue,
-                                   core::time_ms now) {
+                                   placement_round& round, core::time_ms now) {
     if (policy_ == placement_policy::fit) {
         return;
     }
-    const auto& step = job.request.steps[job.tasks[index].step];
+    round.is_restricted = true;
     const auto& service = job.request.terms.service;
-    const waiting_task task{job.request.id, index};
+    const waiting_task task{job.number, index};
+    const auto* const earlier = queue.reserved.find(task);
+    if (earlier == nullptr &&
+        queue.reserved.size() >= detail::max_reservations(pool_.usable_targets(service))) {
+        return;
+    }
     const auto excluded = targets_at_step_limit(job, job.tasks[index]);
     const placement_request request{.service = service,
-                                    .step = &step,
+                                    .step = &job.request.steps[job.tasks[index].step],
                                     .excluded = excluded,
                                     .reserved = &queue.reserved,
                                     .policy = policy_};
-    if (const auto* const earlier = queue.reserved.find(task)) {
-        const auto fit = pool_.fit_on(earlier->target, request, ends_, now);
-        if (fit && fit->at <= std::max(earlier->starts_at, now) + detail::accepted_delay) {
-            queue.reserved.keep(
-                task, {.target = fit->target, .starts_at = fit->at, .beside = fit->beside});
+    const auto to_reservation = [&](forecast_fit&& fit) {
+        return reservation{.job = job.request.id,
+                           .target = std::move(fit.target),
+                           .starts_at = fit.at,
+                           .beside = fit.beside};
+    };
+    auto fit =
+        earlier == nullptr ? std::nullopt : pool_.fit_on(earlier->target, request, ends_, now);
+    const bool is_delayed =
+        !fit || fit->at > std::max(earlier->starts_at, now) + detail::accepted_delay;
+    if (is_delayed && round.searches < detail::max_searches) {
+        ++round.searches;
+        auto other = pool_.earliest_fit(request, ends_, now);
+        if (other && (!fit || other->at < fit->at)) {
+            queue.reserved.make(task, to_reservation(std::move(*other)));
             return;
         }
-    } else if (queue.reserved.size() >=
-               detail::max_reservations(pool_.usable_cpu_millis(service), step.resources)) {
-        return;
     }
-    if (auto fit = pool_.earliest_fit(request, ends_, now)) {
-        queue.reserved.make(
-            task, {.target = std::move(fit->target), .starts_at = fit->at, .beside = fit->beside});
+    if (fit) {
+        queue.reserved.keep(task, to_reservation(std::move(*fit)));
     }
 }
 
@@ -229,28 +241,32 @@
     return full;
 }
 
-bool job_scheduler::place_task(job_record& job, std::size_t index, service_queue& queue,
-                               const placement_round& round, core::time_ms now) {
-    auto& task = job.tasks[index];
-    const auto& step = job.request.steps[task.step];
+job_scheduler::placement_result job_scheduler::place_task(job_record& job, std::size_t index,
+                                                          service_queue& queue,
+                                                          const placement_round& round,
+                                                          core::time_ms now) {
+    const auto& task = job.tasks[index];
     const auto excluded = targets_at_step_limit(job, task);
     const auto holders = detail::holders_of_runs(job);
-    const auto* const own = queue.reserved.find({job.request.id, index});
-    auto chosen = pool_.pick({.service = job.request.terms.service,
-                              .step = &step,
+    const auto* const own = queue.reserved.find({job.number, index});
+    placement_request request{.service = job.request.terms.service,
+                              .step = &job.request.steps[task.step],
                               .excluded = excluded,
                               .avoid = task.target,
                               .front_end = job.waiters.front().host,
                               .job_holders = holders,
                               .reserved = round.is_restricted ? &queue.reserved : nullptr,
                               .policy = policy_,
-                              .own_target = own == nullptr ? std::string_view{} : own->target},
-                             now);
-    if (!chosen) {
-        return false;
+                              .own_target = own == nullptr ? std::string_view{} : own->target};
+    if (auto chosen = pool_.pick(request, now)) {
+        start_task(job, index, std::move(*chosen), queue, now);
+        return placement_result::started;
+    }
+    if (!round.is_restricted || round.blocked >= detail::max_blocked_tasks) {
+        return placement_result::unmet;
     }
-    start_task(job, index, std::move(*chosen), queue, now);
-    return true;
+    request.reserved = nullptr;
+    return pool_.pick(request, now) ? placement_result::blocked : placement_result::unmet;
 }
 
 void job_scheduler::start_task(job_record& job, std::size_t index, placement&& chosen,
@@ -258,7 +274,7 @@
     auto& task = job.tasks[index];
     const auto& step = job.request.steps[task.step];
     const auto duration = pool_.expected_duration(chosen.target, step);
-    const waiting_task waiting{job.request.id, index};
+    const waiting_task waiting{job.number, index};
     if (queue.reserved.find(waiting) != nullptr) {
         queue.reserved.task_started(waiting, chosen.target);
     }
--- a/src/hawthornstall/runs/reservations.cpp
+++ b/src/hawthornstall/runs/reservations.cpp
@@ -31,14 +31,9 @@
     }
 }
 
-void reservations::end_round() {
+void reservations::drop_unused() {
     for (auto position = by_task_.begin(); position != by_task_.end();) {
-        if (position->second.is_current) {
-            position->second.is_current = false;
-            ++position;
-        } else {
-            position = drop(position);
-        }
+        position = position->second.is_current ? std::next(position) : drop(position);
     }
 }
 
@@ -48,9 +43,9 @@
     if (found == by_target_.end()) {
         return true;
     }
-    const auto& item = by_task_.at(found->second).item;
-    return policy == placement_policy::backfill &&
-           (ends_at <= item.starts_at || item.beside.holds(wanted));
+    const auto& [item, is_current] = by_task_.at(found->second);
+    return !is_current || (policy == placement_policy::backfill &&
+                           (ends_at <= item.starts_at || item.beside.holds(wanted)));
 }
 
 void reservations::other_started(std::string_view target, const core::resources& used,
--- a/src/hawthornstall/runs/reservations.hpp
+++ b/src/hawthornstall/runs/reservations.hpp
@@ -5,8 +5,10 @@
 #include "hawthornstall/core/ms_clock.hpp"
 #include "hawthornstall/core/resources.hpp"
 
+#include <concepts>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <string>
 #include <string_view>
@@ -35,11 +37,12 @@
     return "backfill";
 }
 
-/// A waiting task: the id of its job and its place among the tasks of the job.
-using waiting_task = std::pair<std::string, std::size_t>;
+/// A waiting task: the number of its job at the scheduler and its place among the tasks of the job.
+using waiting_task = std::pair<std::uint64_t, std::size_t>;
 
 /// A target that is reserved for a waiting task.
 struct reservation {
+    std::string job{}; ///< Id of the task's job.
     std::string target{};
     core::time_ms starts_at{}; ///< When the task is expected to fit.
     core::resources beside{};  ///< Expected to be free at that time beside the task.
@@ -55,12 +58,23 @@
 
 /// The reservations of one service. In each round of placement the scheduler comes to the waiting
 /// tasks in the order of their jobs, and says with keep() or make() which of them still fit
-/// nowhere. The others lose their reservation at the end of the round. Does no I/O.
+/// nowhere. A reservation restricts only the tasks that come after its own in the same round. Does
+/// no I/O.
 class reservations {
 public:
     /// The reservation of a task; null if there is none.
     [[nodiscard]] const reservation* find(const waiting_task& task) const;
 
+    /// Begins a round. Drops the reservations for which `is_outdated` returns true.
+    template <std::predicate<const waiting_task&, const reservation&> IsOutdated>
+    void begin_round(IsOutdated is_outdated) {
+        for (auto position = by_task_.begin(); position != by_task_.end();) {
+            position->second.is_current = false;
+            position = is_outdated(position->first, position->second.item) ? drop(position)
+                                                                           : std::next(position);
+        }
+    }
+
     /// Whether a target is reserved.
     [[nodiscard]] bool is_reserved(std::string_view target) const {
         return by_target_.contains(target);
@@ -78,15 +92,16 @@
     /// The task has started on `target`.
     void task_started(const waiting_task& task, std::string_view target);
 
-    /// Ends the round: drops the reservations that were neither made nor kept in it.
-    void end_round();
+    /// Ends a round in which the scheduler came to all waiting tasks: drops the reservations that
+    /// were neither made nor kept.
+    void drop_unused();
 
-    /// Whether another task that would run until `ends_at` may start on a target. `policy` is
-    /// reserve or backfill.
+    /// Whether another task that would run until `ends_at` may start on a target, as far as the
+    /// tasks that came before in this round are concerned. `policy` is reserve or backfill.
     [[nodiscard]] bool allows(std::string_view target, const core::resources& wanted,
                               core::time_ms ends_at, placement_policy policy) const;
 
-    /// A task without a reservation has started on a target, reserved or not.
+    /// A task that has no reservation now has started on a target, reserved or not.
     void other_started(std::string_view target, const core::resources& used, core::time_ms ends_at);
 
     [[nodiscard]] reservation_counts take_counts() { return std::exchange(counts_, {}); }
--- a/src/hawthornstall/runs/retry_schedule.cpp
+++ b/src/hawthornstall/runs/retry_schedule.cpp
@@ -14,20 +14,17 @@
         static_cast<std::int64_t>(std::max(capacity.cpu_millis, 0.0)) * ms_per_second;
     // What is pending uses up the first seconds.
     auto busy = capacity.pending_work;
-    auto chosen = last;
-    auto least = invited_[last];
-    for (auto second = present + shortest.count() / ms_per_second; second <= last; ++second) {
+    const auto first = present + shortest.count() / ms_per_second;
+    auto chosen = first;
+    for (auto second = first; second <= last; ++second) {
         const auto used = std::min(busy, per_second);
         busy -= used;
-        const auto invited = invited_[second];
-        if (invited + work <= per_second - used) {
+        if (invited_[second] + work <= per_second - used) {
             chosen = second;
             break;
         }
-        if (second == last || (busy == 0 && invited < least)) {
-            chosen = invited < least ? second : chosen;
-            least = std::min(least, invited);
-        }
+        // Without a free second the callers are spread evenly.
+        chosen = invited_[second] < invited_[chosen] ? second : chosen;
     }
     invited_[chosen] += work;
     return core::duration_ms{(chosen - present) * ms_per_second};
--- a/tests/hawthornstall/runs/reservations_test.cpp
+++ b/tests/hawthornstall/runs/reservations_test.cpp
@@ -75,8 +75,10 @@
 // that stays idle although a task would not delay it.
 TEST_CASE("others use a reserved target only if they do not delay the reserved start") {
     reservations reserved;
-    reserved.make({"large", 0},
-                  {.target = "w", .starts_at = start_time + duration_ms{100}, .beside = cores(20)});
+    reserved.make({1, 0}, {.job = "large",
+                           .target = "w",
+                           .starts_at = start_time + duration_ms{100},
+                           .beside = cores(20)});
     const std::array cases{
         allow_case{"another target", "x", 60, duration_ms{900}, placement_policy::backfill, true},
         allow_case{"ends before", "w", 60, duration_ms{100}, placement_policy::backfill, true},
@@ -98,29 +100,53 @@
 }
 
 // Guards against a target that stays reserved for a task that has started or does not wait any
-// more.
+// more, and against a reservation that is lost because a round ended before its task was reached.
 TEST_CASE("a reservation ends with its task or with a round in which the task is not seen") {
+    const auto nothing = [](const waiting_task& /*task*/, const reservation& /*item*/) {
+        return false;
+    };
     reservations reserved;
-    const reservation item{.target = "w", .starts_at = start_time, .beside = {}};
-    reserved.make({"a", 0}, item);
-    reserved.end_round();
+    const reservation item{.job = "a", .target = "w", .starts_at = start_time, .beside = {}};
+    reserved.make({1, 0}, item);
+    reserved.drop_unused();
+    CHECK(reserved.is_reserved("w"));
+    reserved.begin_round(nothing);
     CHECK(reserved.is_reserved("w"));
-    reserved.keep({"a", 0}, item);
-    reserved.end_round();
+    reserved.begin_round(nothing);
+    reserved.keep({1, 0}, item);
+    reserved.drop_unused();
     CHECK(reserved.is_reserved("w"));
-    reserved.end_round();
+    reserved.begin_round(nothing);
+    reserved.drop_unused();
     CHECK_FALSE(reserved.is_reserved("w"));
-    reserved.make({"b", 0}, item);
-    reserved.make({"b", 0}, {.target = "x", .starts_at = start_time, .beside = {}});
+    reserved.make({2, 0}, item);
+    reserved.make({2, 0}, {.job = "b", .target = "x", .starts_at = start_time, .beside = {}});
     CHECK_FALSE(reserved.is_reserved("w"));
-    reserved.task_started({"b", 0}, "x");
+    reserved.task_started({2, 0}, "x");
+    CHECK(reserved.size() == 0);
+    reserved.make({3, 0}, item);
+    reserved.begin_round(
+        [](const waiting_task& task, const reservation& /*item*/) { return task.first == 3; });
     CHECK(reserved.size() == 0);
     const auto counts = reserved.take_counts();
-    CHECK(counts.made == 2);
+    CHECK(counts.made == 3);
     CHECK(counts.moved == 1);
     CHECK(counts.used == 1);
 }
 
+// Guards against an urgent task that is kept from a target for a task that comes after it.
+TEST_CASE("a reservation restricts only the tasks that come after its own in a round") {
+    reservations reserved;
+    const reservation item{.job = "a", .target = "w", .starts_at = start_time, .beside = {}};
+    reserved.make({1, 0}, item);
+    reserved.begin_round(
+        [](const waiting_task& /*task*/, const reservation& /*item*/) { return false; });
+    const auto later = start_time + duration_ms{900};
+    CHECK(reserved.allows("w", cores(30), later, placement_policy::backfill));
+    reserved.keep({1, 0}, item);
+    CHECK_FALSE(reserved.allows("w", cores(30), later, placement_policy::backfill));
+}
+
 /// A scheduler on a virtual clock, whose runs end after the time that the test says.
 class placement_fixture {
 public:
--- a/tests/hawthornstall/runs/wait_forecast_test.cpp
+++ b/tests/hawthornstall/runs/wait_forecast_test.cpp
@@ -104,7 +104,7 @@
         retry_case{"the first two seconds go to what is pending",
                    {capacity, 2'000'000'000},
                    {0, 0, 10, 10, 10, 10, 10, 10, 0, 0}},
-        retry_case{"nothing is free", {-capacity, 0}, {}},
+        retry_case{"nothing is free", {-capacity, 0}, {6, 6, 6, 6, 6, 6, 6, 6, 6, 6}},
     };
     for (const auto& item : cases) {
         CAPTURE(item.name);
