--- a/tests/process/clients_peer_ports_test.bash
+++ b/tests/process/clients_peer_ports_test.bash
@@ -4,7 +4,7 @@
 set -euo pipefail
 . tests/process/clients_common.bash
 
-# A frame of 64 MiB - 1 byte, the largest length that was accepted, without its last byte.
+# A frame of 64 MiB - 1 byte, nearly the largest length that is accepted, without its last byte.
 send_frame() {
     printf '\x03\xff\xff\xff'
     head -c 67108862 /dev/zero
