--- a/tests/process/clients_common.bash
+++ b/tests/process/clients_common.bash
@@ -37,6 +37,7 @@
     local code=$?
     stop_crowd
     for process in "${!PID[@]}"; do kill -KILL "${PID[$process]}" 2>/dev/null || true; done
+    wait 2>/dev/null || true
     if [ "$failures" -gt 0 ] || [ "$code" -ne 0 ]; then
         echo "failed, logs are in $DIR"
         exit 1
