--- a/src/hawthornstall/runs/detail/dispatch_host_callers.hpp
+++ b/src/hawthornstall/runs/detail/dispatch_host_callers.hpp
@@ -150,7 +150,7 @@
     }
     const auto error = core::make_error(absl::StatusCode::kUnavailable,
                                         {.step = "cancel_job", .peer = answer.scheduler},
-                                        "the scheduler did not answer in time");
+                                        to_string(answer.outcome));
     send_answer(answer.request, codec_.answer_to(error));
 }
 
--- a/src/hawthornstall/runs/job_cancellations.cpp
+++ b/src/hawthornstall/runs/job_cancellations.cpp
@@ -14,7 +14,7 @@
     case cancellation_outcome::undecided:
         break;
     }
-    return "the scheduler did not answer in time";
+    return "not decided: no scheduler answered in time";
 }
 
 void job_cancellations::open(std::uint64_t request, const std::string& job,
--- a/src/hawthornstall/runs/job_scheduler.hpp
+++ b/src/hawthornstall/runs/job_scheduler.hpp
@@ -154,6 +154,8 @@
     [[nodiscard]] placement_result place_task(job_record& job, std::size_t index,
                                               service_queue& queue, const placement_round& round,
                                               core::time_ms now);
+    void note_start(const job_record& job, std::size_t index, service_queue& queue,
+                    core::time_ms now);
     void start_task(job_record& job, std::size_t index, placement&& chosen, service_queue& queue,
                     core::time_ms now);
     [[nodiscard]] std::string describe_reservations();
--- a/src/hawthornstall/runs/job_scheduler_placement.cpp
+++ b/src/hawthornstall/runs/job_scheduler_placement.cpp
@@ -99,7 +99,9 @@
 /// Starts tasks in the order of their jobs until no target has room for the smallest pending task.
 void job_scheduler::place_jobs(std::string_view service, service_queue& queue, core::time_ms now) {
     placement_round round;
-    drop_outdated_reservations(queue);
+    if (queue.reserved.size() > 0) {
+        drop_outdated_reservations(queue);
+    }
     auto& pending = queue.pending;
     auto* job = pending.first();
     while (job != nullptr) {
@@ -248,7 +250,8 @@
     const auto& task = job.tasks[index];
     const auto excluded = targets_at_step_limit(job, task);
     const auto holders = detail::holders_of_runs(job);
-    const auto* const own = queue.reserved.find({job.number, index});
+    const auto* const own =
+        policy_ == placement_policy::fit ? nullptr : queue.reserved.find({job.number, index});
     placement_request request{.service = job.request.terms.service,
                               .step = &job.request.steps[task.step],
                               .excluded = excluded,
@@ -269,16 +272,24 @@
     return pool_.pick(request, now) ? placement_result::blocked : placement_result::unmet;
 }
 
-void job_scheduler::start_task(job_record& job, std::size_t index, placement&& chosen,
-                               service_queue& queue, core::time_ms now) {
-    auto& task = job.tasks[index];
+/// Enters a task that starts into the forecast and the reservations.
+void job_scheduler::note_start(const job_record& job, std::size_t index, service_queue& queue,
+                               core::time_ms now) {
+    const auto& task = job.tasks[index];
     const auto& step = job.request.steps[task.step];
-    const auto duration = pool_.expected_duration(chosen.target, step);
+    const auto duration = pool_.expected_duration(task.target, step);
     const waiting_task waiting{job.number, index};
     if (queue.reserved.find(waiting) != nullptr) {
-        queue.reserved.task_started(waiting, chosen.target);
+        queue.reserved.task_started(waiting, task.target);
     }
-    queue.reserved.other_started(chosen.target, step.resources, now + duration);
+    queue.reserved.other_started(task.target, step.resources, now + duration);
+    ends_.started(task.target, task.key, step.resources, now, duration);
+}
+
+void job_scheduler::start_task(job_record& job, std::size_t index, placement&& chosen,
+                               service_queue& queue, core::time_ms now) {
+    auto& task = job.tasks[index];
+    const auto& step = job.request.steps[task.step];
     pool_.reserve(chosen.target, step.resources);
     set_state(job, task, detail::phase::running);
     task.key = ++last_key_;
@@ -290,7 +301,9 @@
     ++task.last_run;
     job.started = true;
     runs_[task.key] = {.job = job.request.id, .task = index};
-    ends_.started(task.target, task.key, step.resources, now, duration);
+    if (policy_ != placement_policy::fit) {
+        note_start(job, index, queue, now);
+    }
     const auto& waiter = job.waiters.front();
     effects_.messages.push_back({waiter.host, grant_run{.number = waiter.number,
                                                         .key = task.key,
