--- a/src/hawthornstall/control/zone_rows.cpp
+++ b/src/hawthornstall/control/zone_rows.cpp
@@ -9,6 +9,7 @@
     std::set<std::string> names{zones.begin(), zones.end()};
     names.insert(drains.zones.begin(), drains.zones.end());
     std::vector<status::zone_row> rows;
+    rows.reserve(names.size());
     for (const auto& name : names) {
         rows.push_back(
             {.name = name, .drained = drains.contains(name), .revision = drains.revision});
--- a/src/hawthornstall/runs/wait_forecast.cpp
+++ b/src/hawthornstall/runs/wait_forecast.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <bit>
 #include <cmath>
+#include <cstdint>
 
 namespace hawthornstall::runs {
 namespace detail {
@@ -15,7 +16,8 @@
 constexpr double accepted_change_ms = 1.0;
 
 int class_of(core::duration_ms objective) {
-    return std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(objective.count(), 1)));
+    const auto milliseconds = std::max<std::int64_t>(objective.count(), 1);
+    return static_cast<int>(std::bit_width(static_cast<std::uint64_t>(milliseconds)));
 }
 
 /// The geometric mean of the objectives in a class.
