Stop passing evhttp to the accept error callback as the server

Cause: evhttp sets the argument of its listener to itself, so the error callback, which runs when no descriptor is left for a connection, took evhttp for the http_server. Change: the callback only disables the listener, and a timer of the server enables it again.

--- a/src/hawthornstall/net/http_server.cpp
+++ b/src/hawthornstall/net/http_server.cpp
@@ -156,18 +156,19 @@
         return core::make_error(absl::StatusCode::kInternal, origin, "evhttp refused the listener");
     }
     evconnlistener_set_error_cb(listener, &http_server::on_accept_error);
+    accept_again_event_ = loop_.every(detail::accept_pause, [this, listener] {
+        if (listener_ != nullptr) {
+            evconnlistener_enable(listener);
+        }
+    });
     address_ = local_address(evconnlistener_get_fd(listener));
     return absl::OkStatus();
 }
 
-void http_server::on_accept_error(evconnlistener* listener, void* argument) {
-    auto& self = *static_cast<http_server*>(argument);
+// The argument is evhttp's own, since evhttp sets the argument of the listener. The timer that
+// start() sets enables the listener again.
+void http_server::on_accept_error(evconnlistener* listener, void* /*argument*/) {
     evconnlistener_disable(listener);
-    self.accept_again_event_ = self.loop_.after(detail::accept_pause, [&self, listener] {
-        if (self.listener_ != nullptr) {
-            evconnlistener_enable(listener);
-        }
-    });
 }
 
 void http_server::on_request(evhttp_request* native, void* argument) {
--- a/src/hawthornstall/net/http_server.hpp
+++ b/src/hawthornstall/net/http_server.hpp
@@ -142,7 +142,7 @@
         void operator()(evhttp* server) const noexcept;
     };
 
-    // Callbacks of evhttp and its listener; `argument` is the http_server.
+    // Callbacks of evhttp and its listener; `argument` of a request is the http_server.
     static void on_accept_error(evconnlistener* listener, void* argument);
     static void on_request(evhttp_request* native, void* argument);
     static void on_answer_written(evhttp_request* native, void* argument);
--- a/tests/hawthornstall/net/http_connections_test.cpp
+++ b/tests/hawthornstall/net/http_connections_test.cpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
@@ -91,6 +92,43 @@
     std::size_t requests = 0; ///< Handled by the server.
 };
 
+/// Leaves this process without a free descriptor until it is destroyed.
+class descriptor_shortage {
+public:
+    descriptor_shortage() {
+        REQUIRE(getrlimit(RLIMIT_NOFILE, &before_) == 0);
+        const int first_free = dup(STDERR_FILENO);
+        REQUIRE(first_free >= 0);
+        close(first_free);
+        const rlimit lowered{.rlim_cur = static_cast<rlim_t>(first_free),
+                             .rlim_max = before_.rlim_max};
+        REQUIRE(setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+    }
+    ~descriptor_shortage() { (void)setrlimit(RLIMIT_NOFILE, &before_); }
+    descriptor_shortage(const descriptor_shortage&) = delete;
+    descriptor_shortage& operator=(const descriptor_shortage&) = delete;
+    descriptor_shortage(descriptor_shortage&&) = delete;
+    descriptor_shortage& operator=(descriptor_shortage&&) = delete;
+
+private:
+    rlimit before_{};
+};
+
+// Guards against a process that ends when it has no descriptor for a new connection, and against a
+// server that accepts none after that.
+TEST_CASE("a server that has run out of descriptors accepts connections again") {
+    holding_server held{{}};
+    const sending_client first{held.server.address()};
+    const sending_client second{held.server.address()};
+    {
+        const descriptor_shortage shortage;
+        run_loop_for(held.loop, core::duration_ms{50});
+    }
+    CHECK(first.send(request) == request.size());
+    CHECK(second.send(request) == request.size());
+    held.run_until([&] { return held.numbers.size() == 2; });
+}
+
 // Load: clients hold more than the limit together, and the one that holds the most is closed while
 // its request waits, is incomplete, or is followed by more bytes. Guards against a process that
 // ends because evhttp reads from a connection that waits for its answer, and against a connection
