Let slow clients send for three seconds again before the check

Cause: when the test began to wait for its connections, its former pause of 3 s was dropped, so that the check could come before further bytes.

--- a/tests/process/clients_slow_headers_test.bash
+++ b/tests/process/clients_slow_headers_test.bash
@@ -30,6 +30,8 @@
     (trap '' PIPE; send_slowly $listener) >/dev/null 2>&1 &
     CROWD_PIDS+=($!)
     wait_until 60 test -e "$DIR/connected"
+    # The clients send several more bytes before the check.
+    sleep 3
     check_hosts
     rm -f "$DIR/connected"
     stop_crowd
