Log which file of a damaged data folder is damaged, and how

Callers saw: nothing of it. Cause: open_or_replace dropped the status of the failed open. Change: the status stands in the new member reason of the line. Measured: the test of the moved folder checks the text; control_test's three cases on damage pass.

--- a/src/hawthornstall/control/control_event_log.cpp
+++ b/src/hawthornstall/control/control_event_log.cpp
@@ -8,7 +8,7 @@
     switch (event.what) {
     case kind::folder_damaged:
         write({.level = core::log_level::error, .name = "data_folder_damaged"},
-              {{"moved_to", detail}});
+              {{"reason", detail}, {"moved_to", std::string_view{event.subject}}});
         break;
     case kind::role_changed:
         write({.name = "role_changed"},
--- a/src/hawthornstall/control/control_logic.cpp
+++ b/src/hawthornstall/control/control_logic.cpp
@@ -257,7 +257,7 @@
         return opened.status();
     }
     if (!opened->damaged_folder.empty()) {
-        report_({control_event::kind::folder_damaged, opened->damaged_folder});
+        report_({control_event::kind::folder_damaged, opened->damage, opened->damaged_folder});
     }
     auto replica =
         config_replica<file_storage>::open(std::move(opened->storage), options_.consensus,
--- a/src/hawthornstall/control/control_logic.hpp
+++ b/src/hawthornstall/control/control_logic.hpp
@@ -92,7 +92,7 @@
 /// Event of control_logic that is logged and counted.
 struct control_event {
     enum class kind : std::uint8_t {
-        folder_damaged,   ///< `detail` is where the damaged folder was moved.
+        folder_damaged,   ///< `detail` tells what is damaged, `subject` is the folder's new path.
         role_changed,     ///< `subject` is the new role, `detail` tells of the contact to a leader.
         members_changed,  ///< `detail` lists the voters and the learners of the log.
         peer_reachable,   ///< `subject` is the peer.
--- a/src/hawthornstall/control/file_storage.cpp
+++ b/src/hawthornstall/control/file_storage.cpp
@@ -33,7 +33,9 @@
     }
     auto storage = file_storage::open(folder, host, new_storage_id);
     std::string moved;
+    std::string damage;
     if (storage.status().code() == absl::StatusCode::kDataLoss) {
+        damage = core::describe(storage.status());
         moved = folder + ".damaged-" + std::to_string(core::to_count(wall_now));
         std::error_code error;
         std::filesystem::rename(folder, moved, error);
@@ -48,7 +50,9 @@
     if (!storage.ok()) {
         return storage.status();
     }
-    return opened_storage{.storage = std::move(*storage), .damaged_folder = std::move(moved)};
+    return opened_storage{.storage = std::move(*storage),
+                          .damaged_folder = std::move(moved),
+                          .damage = std::move(damage)};
 }
 
 } // namespace hawthornstall::control
--- a/src/hawthornstall/control/file_storage.hpp
+++ b/src/hawthornstall/control/file_storage.hpp
@@ -81,6 +81,7 @@
 struct opened_storage {
     file_storage storage;
     std::string damaged_folder; ///< New path of the damaged folder; empty when there was none.
+    std::string damage;         ///< Which file was damaged, and how; empty when there was none.
 };
 
 /// Opens `parent`/config as file_storage::open does, creating it when it is missing. A damaged
--- a/tests/hawthornstall/control/file_storage_test.cpp
+++ b/tests/hawthornstall/control/file_storage_test.cpp
@@ -233,8 +233,8 @@
     }
 }
 
-// Guards against a host that votes under its old identity after its folder was damaged, and against
-// a damaged folder that is deleted.
+// Guards against a host that votes under its old identity after its folder was damaged, against a
+// damaged folder that is deleted, and against a report that does not tell what is damaged.
 TEST_CASE("a damaged folder is set aside and replaced under a new identity") {
     const scratch_folder parent;
     const auto open = [&](std::uint64_t new_storage_id) {
@@ -247,6 +247,7 @@
     REQUIRE(replaced.ok());
     CHECK(replaced->storage.state() == hard_state{{"control-1", storage_id + 2}, 0, 0, {}});
     CHECK(replaced->damaged_folder == parent.path() + "/config.damaged-123");
+    CHECK(replaced->damage.find("/config: the state file is damaged") != std::string::npos);
     CHECK(read_all(replaced->damaged_folder + "/state") == "x");
 }
 
