Reproduce the damaged data folders with writes that are torn in any way

Callers saw: a configuration that is not in force and no control host that leads, after a common loss of power. Cause shown by these tests: a torn write that nobody has synced is taken for damage unless its missing end reaches back to the start of a sector. The simulated disk of the tests tore writes only in that way.

--- a/tests/hawthornstall/control/simulated_disk.hpp
+++ b/tests/hawthornstall/control/simulated_disk.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 /// Disk in memory whose operations fail and which loses power at a chosen operation. Without a
-/// sync, each later write may be present, missing or torn afterwards, and each created or renamed
-/// name may be kept or lost, independently of the others.
+/// sync, each later write may be present, missing or torn in any way afterwards, and each created
+/// or renamed name may be kept or lost, independently of the others.
 
 #include "hawthornstall/control/data_files.hpp"
 
@@ -10,6 +10,7 @@
 #include <absl/status/statusor.h>
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -18,6 +19,7 @@
 #include <numeric>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -35,17 +37,30 @@
     power_lost_unsynced, ///< As power_lost_after, and all that is not synced is lost.
 };
 
+/// Which part of a write reaches the disk. Bytes that do not keep the earlier content of the file,
+/// or are zeros beyond its former end.
+enum class write_extent : std::uint8_t {
+    whole,
+    prefix,            ///< The file ends after it.
+    prefix_of_sectors, ///< The file has its full length, and whole sectors of the prefix arrive.
+    prefix_of_bytes,   ///< The file has its full length, and the prefix ends anywhere.
+    prefix_then_noise, ///< As prefix_of_bytes, and the other bytes are random.
+    some_sectors,      ///< Sectors of 512 bytes arrive in any order.
+    some_pages,        ///< Pages of 4 KiB arrive in any order.
+    suffix,            ///< The end arrives, and the beginning does not.
+};
+
+constexpr std::array torn_extents{write_extent::prefix,          write_extent::prefix_of_sectors,
+                                  write_extent::prefix_of_bytes, write_extent::prefix_then_noise,
+                                  write_extent::some_sectors,    write_extent::some_pages,
+                                  write_extent::suffix};
+
 /// State of the disk, shared by its users.
 class simulated_disk {
 public:
-    /// How much of a change reaches the disk.
-    enum class extent : std::uint8_t {
-        whole,
-        prefix,        ///< The file ends after it.
-        whole_sectors, ///< The file has its full length, and the rest of the change is zeros.
-    };
-    /// Applies a change to the content of a file; `bytes` is the length of the part that arrives.
-    using pending_change = std::function<void(std::string&, extent, std::size_t bytes)>;
+    /// Applies a change to the content of a file as far as it reaches the disk.
+    using pending_change =
+        std::function<void(std::string&, write_extent extent, std::mt19937& random)>;
 
     /// Content of one file and the writes that are not synced.
     struct inode {
@@ -70,9 +85,12 @@
     [[nodiscard]] std::size_t most_bytes() const noexcept { return most_bytes_; }
 
     /// Starts the machine again: what is not durable is present, missing or torn at random.
-    void restart(std::mt19937& random) {
+    void restart(std::mt19937& random) { restart(random, torn_extents); }
+
+    /// As above, with only these kinds of torn writes.
+    void restart(std::mt19937& random, std::span<const write_extent> torn) {
         if (!has_power_) {
-            lose_unsynced(random);
+            lose_unsynced(random, torn);
         }
         has_power_ = true;
         fault_ = disk_fault::none;
@@ -108,7 +126,8 @@
 
     /// Makes a change of a file that is not durable yet.
     static void write(inode& file, pending_change change) {
-        change(file.content, extent::whole, 0);
+        std::mt19937 unused;
+        change(file.content, write_extent::whole, unused);
         file.unsynced.push_back(std::move(change));
     }
 
@@ -153,8 +172,9 @@
             [](std::size_t sum, const auto& item) { return sum + item.second->content.size(); });
     }
 
-    void lose_unsynced(std::mt19937& random) {
+    void lose_unsynced(std::mt19937& random, std::span<const write_extent> torn) {
         std::uniform_int_distribution<int> choice{0, 3}; // 0: nothing of a change arrives.
+        std::uniform_int_distribution<std::size_t> kind{0, torn.size() - 1};
         for (const auto& change : unsynced_names_) {
             if (!loses_all_unsynced_ && choice(random) > 0) {
                 change(durable_names_);
@@ -165,7 +185,8 @@
             for (const auto& change : file->unsynced) {
                 const auto outcome = loses_all_unsynced_ ? 0 : choice(random);
                 if (outcome > 0) {
-                    change(content, static_cast<extent>(outcome - 1), random());
+                    change(content, outcome == 1 ? write_extent::whole : torn[kind(random)],
+                           random);
                 }
             }
             *file = {.content = content, .durable = content};
@@ -231,29 +252,17 @@
     }
     [[nodiscard]] absl::Status truncate(const file& target, std::uint64_t size) const {
         return disk->carry_out([&] {
-            simulated_disk::write(*target, [size](std::string& content, simulated_disk::extent,
-                                                  std::size_t) { content.resize(size); });
+            simulated_disk::write(*target, [size](std::string& content, write_extent, auto&) {
+                content.resize(size);
+            });
         });
     }
-    /// The write of `bytes` at `offset`. Sectors reach the disk as a whole.
+    /// The write of `bytes` at `offset`.
     [[nodiscard]] static simulated_disk::pending_change make_write(std::string_view bytes,
                                                                    std::uint64_t offset) {
-        return [text = std::string{bytes},
-                offset](std::string& content, simulated_disk::extent extent, std::size_t length) {
-            constexpr std::size_t sector_bytes = 512;
-            auto arrived =
-                extent == simulated_disk::extent::whole ? text.size() : length % (text.size() + 1);
-            if (extent == simulated_disk::extent::prefix && arrived == 0) {
-                return;
-            }
-            const bool has_full_length = extent != simulated_disk::extent::prefix;
-            if (extent == simulated_disk::extent::whole_sectors) {
-                const auto end = (offset + arrived) / sector_bytes * sector_bytes;
-                arrived = end > offset ? end - offset : 0;
-            }
-            const auto size = offset + (has_full_length ? text.size() : arrived);
-            content.resize(std::max<std::size_t>(content.size(), size), '\0');
-            content.replace(offset, arrived, text, 0, arrived);
+        return [text = std::string{bytes}, offset](std::string& content, write_extent extent,
+                                                   std::mt19937& random) {
+            apply_write(content, text, offset, extent, random);
         };
     }
     [[nodiscard]] absl::Status sync(const file& target) const {
@@ -270,6 +279,66 @@
     }
 
     simulated_disk* disk = nullptr;
+
+private:
+    static constexpr std::size_t sector_bytes = 512;
+    static constexpr std::size_t page_bytes = 4096;
+
+    static void apply_write(std::string& content, std::string_view text, std::uint64_t offset,
+                            write_extent extent, std::mt19937& random) {
+        std::uniform_int_distribution<std::size_t> length{0, text.size()};
+        const auto cut = extent == write_extent::whole ? text.size() : length(random);
+        if (extent == write_extent::prefix && cut == 0) {
+            return;
+        }
+        const auto end = offset + (extent == write_extent::prefix ? cut : text.size());
+        content.resize(std::max<std::size_t>(content.size(), end), '\0');
+        const auto copy = [&](std::size_t from, std::size_t to) {
+            content.replace(offset + from, to - from, text, from, to - from);
+        };
+        switch (extent) {
+        case write_extent::whole:
+        case write_extent::prefix:
+        case write_extent::prefix_of_bytes:
+            copy(0, cut);
+            break;
+        case write_extent::prefix_of_sectors: {
+            const auto boundary = (offset + cut) / sector_bytes * sector_bytes;
+            copy(0, std::max<std::uint64_t>(boundary, offset) - offset);
+            break;
+        }
+        case write_extent::prefix_then_noise:
+            std::generate(content.begin() + static_cast<std::ptrdiff_t>(offset),
+                          content.begin() + static_cast<std::ptrdiff_t>(end),
+                          [&] { return static_cast<char>(random()); });
+            copy(0, cut);
+            break;
+        case write_extent::some_sectors:
+            copy_some_blocks(text.size(), offset, sector_bytes, copy, random);
+            break;
+        case write_extent::some_pages:
+            copy_some_blocks(text.size(), offset, page_bytes, copy, random);
+            break;
+        case write_extent::suffix:
+            copy(cut, text.size());
+            break;
+        }
+    }
+
+    /// Copies each block of the file, or the part of it that the write covers, with a chance of one
+    /// in two.
+    template <class Copy>
+    static void copy_some_blocks(std::size_t size, std::uint64_t offset, std::size_t block_bytes,
+                                 const Copy& copy, std::mt19937& random) {
+        for (std::size_t from = 0; from < size;) {
+            const auto block_end = ((offset + from) / block_bytes + 1) * block_bytes;
+            const auto to = std::min<std::size_t>(size, block_end - offset);
+            if (random() % 2 == 0) {
+                copy(from, to);
+            }
+            from = to;
+        }
+    }
 };
 
 static_assert(file_operations<simulated_files>);
--- /dev/null
+++ b/tests/hawthornstall/torn_writes/torn_writes_test.cpp
@@ -0,0 +1,72 @@
+#include "hawthornstall/control/storage_user.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <random>
+#include <span>
+#include <string_view>
+
+namespace hawthornstall::control {
+namespace {
+
+struct torn_case {
+    std::string_view name;
+    write_extent extent;
+};
+
+constexpr std::array torn_cases{
+    torn_case{"a prefix, the file ends after it", write_extent::prefix},
+    torn_case{"a prefix of sectors, then zeros", write_extent::prefix_of_sectors},
+    torn_case{"a prefix of bytes, then zeros", write_extent::prefix_of_bytes},
+    torn_case{"a prefix, then noise", write_extent::prefix_then_noise},
+    torn_case{"sectors in any order", write_extent::some_sectors},
+    torn_case{"pages in any order", write_extent::some_pages},
+    torn_case{"the end without the beginning", write_extent::suffix},
+};
+
+constexpr unsigned seeds = 12;
+
+/// Loses the power at each operation of `work` in turn, and checks what is found afterwards.
+void check_power_loss(const work_case& work, write_extent extent, unsigned seed) {
+    bool completed = false;
+    for (std::size_t operation = 1; !completed; ++operation) {
+        CAPTURE(operation);
+        std::mt19937 random{seed};
+        simulated_disk disk;
+        auto first = open_simulated(disk);
+        REQUIRE(first.ok());
+        REQUIRE(create_cluster(*first, 9).ok());
+        storage_user user{*first};
+        disk.set_fault(disk_fault::power_lost_after, operation);
+        completed = work.work(user);
+        disk.restart(random, std::span{&extent, 1});
+        const auto found = open_simulated(disk);
+        INFO(found.status().ToString());
+        CHECK(found.ok());
+        if (!found.ok()) {
+            continue;
+        }
+        CHECK(found->state().self.storage_id == sample_storage_id);
+        CHECK(holds(*found, user.confirmed()));
+    }
+}
+
+// Guards against a write that was torn by a loss of power, and that nobody has confirmed, being
+// taken for damage of the folder. A host that finds its folder damaged gives up its vote, and all
+// hosts write the same entry at the moment of a common loss of power.
+TEST_CASE("a write torn in any way is not taken for damage") {
+    for (const auto& torn : torn_cases) {
+        for (const auto& work : work_cases) {
+            for (unsigned seed = 0; seed < seeds; ++seed) {
+                CAPTURE(torn.name);
+                CAPTURE(work.name);
+                CAPTURE(seed);
+                check_power_loss(work, torn.extent, seed);
+            }
+        }
+    }
+}
+
+} // namespace
+} // namespace hawthornstall::control
