Tell torn writes from damage by the position up to which the log is synced

Callers saw: an acknowledged configuration that is not in force, and no control host that leads, after all control hosts lost power together. Cause: a record that is not whole counted as torn only if the zeros after it reach back to the start of a sector. The platform promises no order inside an unsynced write. Several hosts were writing the same entry, found it torn at another place, and gave up their votes together. Change: the new file synced holds the position of the last synced entry. What is not whole after it is a torn write, whatever its content; what is not whole at or before it is damage. The position is written after each sync of the log into the slot that is not durable, and is itself synced at the first write after an open, before entries are dropped, and after 64 writes. Folders without the file are read as before. recover_log decides without I/O.

--- a/src/hawthornstall/control/consensus_layouts.hpp
+++ b/src/hawthornstall/control/consensus_layouts.hpp
@@ -24,6 +24,11 @@
     static constexpr auto members = std::tuple{&type::term, &type::index};
 };
 
+template <> struct layout<control::synced_position> {
+    using type = control::synced_position;
+    static constexpr auto members = std::tuple{&type::sequence, &type::position};
+};
+
 template <> struct layout<control::log_entry> {
     using type = control::log_entry;
     static constexpr auto members = std::tuple{&type::position, &type::payload};
--- a/src/hawthornstall/control/consensus_types.hpp
+++ b/src/hawthornstall/control/consensus_types.hpp
@@ -7,6 +7,7 @@
 #include "hawthornstall/control/numbered_config.hpp"
 #include "hawthornstall/control/zone_drains.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -53,7 +54,14 @@
     std::uint64_t term = 0;
     std::uint64_t index = 0;
 
-    bool operator==(const log_position&) const = default;
+    /// Orders by term, then by index: the later of two logs is the one whose last entry is later.
+    auto operator<=>(const log_position&) const = default;
+};
+
+/// Position up to which a member has synced its log, as it stands in the member's files.
+struct synced_position {
+    std::uint64_t sequence = 0; ///< Grows with each write of the position.
+    log_position position;
 };
 
 /// A replicated change and its position in the log.
--- a/src/hawthornstall/control/detail/file_storage_impl.hpp
+++ b/src/hawthornstall/control/detail/file_storage_impl.hpp
@@ -11,7 +11,6 @@
 
 #include <optional>
 #include <utility>
-#include <vector>
 
 namespace hawthornstall::control {
 namespace detail {
@@ -19,6 +18,7 @@
 inline const std::string state_name = "state";
 inline const std::string snapshot_name = "snapshot";
 inline const std::string log_name = "log";
+inline const std::string synced_name = "synced";
 
 template <class Value> std::string encode_record(const Value& value) {
     std::string bytes;
@@ -59,29 +59,22 @@
     const auto state = files_.read(folder_ + '/' + detail::state_name);
     const auto snapshot = files_.read(folder_ + '/' + detail::snapshot_name);
     const auto log = files_.read(folder_ + '/' + detail::log_name);
-    for (const auto& status : {state.status(), snapshot.status(), log.status()}) {
+    const auto synced = files_.read(folder_ + '/' + detail::synced_name);
+    for (const auto& status : {state.status(), snapshot.status(), log.status(), synced.status()}) {
         if (!status.ok()) {
             return status;
         }
     }
     if (!*state) {
         // create() writes the state file last; until then, the other files hold no entries.
-        const bool is_fresh = (!*log || (*log)->empty()) &&
+        const bool is_fresh = !*synced && (!*log || (*log)->empty()) &&
                               (!*snapshot || **snapshot == detail::encode_record(log_snapshot{}));
         return is_fresh ? create(host, new_storage_id) : damage_error("the state file is missing");
     }
-    if (!*log || !*snapshot) {
-        return damage_error("the log file or the snapshot file is missing");
-    }
     if (auto loaded = load_state(**state, host); !loaded.ok()) {
         return loaded;
     }
-    auto decoded = detail::decode_record<log_snapshot>(**snapshot);
-    if (!decoded) {
-        return damage_error("the snapshot file is damaged");
-    }
-    log_.rebase(decoded->position, std::move(decoded->members));
-    return load_log(**log);
+    return load_log(*snapshot, *log, *synced);
 }
 
 template <file_operations Files>
@@ -97,10 +90,11 @@
         !saved.ok()) {
         return saved;
     }
-    return save_state({.self = {.host = std::string{host}, .storage_id = new_storage_id},
-                       .cluster_id = 0,
-                       .term = 0,
-                       .voted_for = std::nullopt});
+    auto saved = save_state({.self = {.host = std::string{host}, .storage_id = new_storage_id},
+                             .cluster_id = 0,
+                             .term = 0,
+                             .voted_for = std::nullopt});
+    return saved.ok() ? open_synced(std::nullopt) : saved;
 }
 
 template <file_operations Files>
@@ -119,50 +113,43 @@
 }
 
 template <file_operations Files>
-absl::Status basic_file_storage<Files>::load_log(std::string_view bytes) {
-    const auto scan = scan_records(bytes);
-    if (scan.end == record_end::damaged) {
-        return damage_error("a log record is damaged at byte " + std::to_string(scan.valid_bytes));
-    }
-    std::vector<log_entry> entries;
-    for (const auto& record : scan.records) {
-        auto entry = wire::decode<log_entry>(record.payload);
-        const bool continues =
-            entry.ok() &&
-            (entries.empty() || entry->position.index == entries.back().position.index + 1);
-        if (!continues) {
-            return damage_error("a log record is out of place at byte " +
-                                std::to_string(record.offset));
-        }
-        entries.push_back(std::move(*entry));
+absl::Status basic_file_storage<Files>::load_log(const std::optional<std::string>& snapshot,
+                                                 const std::optional<std::string>& log,
+                                                 const std::optional<std::string>& synced) {
+    auto recovered = recover_log({.snapshot = snapshot,
+                                  .log = log,
+                                  .synced = synced_position_file<Files>::read(synced),
+                                  .term = state_.term});
+    if (recovered.is_damaged()) {
+        return damage_error(recovered.problem);
     }
-    const auto base = log_.base();
-    if (!entries.empty() && entries.front().position.index > base.index + 1) {
-        return damage_error("entries are missing between the snapshot and the log");
+    const auto log_file_bytes = log ? log->size() : 0;
+    log_.rebase(recovered.base, std::move(recovered.members));
+    log_.append(recovered.entries);
+    if (auto opened = open_synced(synced); !opened.ok()) {
+        return opened;
     }
-    // A crash between the replacement of the snapshot and that of the log leaves entries that the
-    // snapshot covers. The entries after it are valid only if the log agrees with the snapshot.
-    std::size_t covered = 0;
-    while (covered < entries.size() && entries[covered].position.index <= base.index) {
-        ++covered;
+    if (auto repaired = repair_files(recovered, log_file_bytes); !repaired.ok()) {
+        return repaired;
     }
-    const bool continues_snapshot = covered == 0 || entries[covered - 1].position == base;
-    if (continues_snapshot) {
-        log_.append(std::span{entries}.subspan(covered));
+    return raise_synced();
+}
+
+/// Makes the files hold the recovered log and nothing else.
+template <file_operations Files>
+absl::Status basic_file_storage<Files>::repair_files(const recovered_log& recovered,
+                                                     std::size_t log_file_bytes) {
+    if (!recovered.matches_file) {
+        return rewrite_log();
     }
     if (auto opened = open_log(); !opened.ok()) {
         return opened;
     }
-    if (covered != 0) {
-        return rewrite_log();
-    }
-    for (const auto& record : scan.records) {
-        record_offsets_.push_back(record.offset);
-    }
-    log_bytes_ = scan.valid_bytes;
+    record_offsets_.assign(recovered.record_offsets.begin(), recovered.record_offsets.end());
+    log_bytes_ = recovered.valid_bytes;
     // After a crash of only the process, the entries may have been written but not synced.
-    return scan.end == record_end::torn ? truncate_synced(files_, log_file_, log_bytes_)
-                                        : files_.sync(log_file_);
+    return log_bytes_ < log_file_bytes ? truncate_synced(files_, log_file_, log_bytes_)
+                                       : files_.sync(log_file_);
 }
 
 template <file_operations Files> absl::Status basic_file_storage<Files>::open_log() {
@@ -174,6 +161,33 @@
     return absl::OkStatus();
 }
 
+/// Opens the file of the synced position, with its earlier `content`.
+template <file_operations Files>
+absl::Status basic_file_storage<Files>::open_synced(const std::optional<std::string>& content) {
+    synced_ = synced_position_file<Files>::read(content).value_or(log_position{});
+    return synced_file_.open(files_, folder_ + '/' + detail::synced_name, content);
+}
+
+/// Lowers the synced position, durably, before entries after `last` are dropped. They contradict
+/// the log of the leader and so were never committed.
+template <file_operations Files>
+absl::Status basic_file_storage<Files>::lower_synced(const log_position& last) {
+    if (last >= synced_) {
+        return absl::OkStatus();
+    }
+    synced_ = last;
+    return synced_file_.write_synced(files_, last);
+}
+
+/// Writes the position of the last entry, up to which the log has been synced.
+template <file_operations Files> absl::Status basic_file_storage<Files>::raise_synced() {
+    if (log_.last() <= synced_) {
+        return absl::OkStatus();
+    }
+    synced_ = log_.last();
+    return synced_file_.write(files_, synced_);
+}
+
 template <file_operations Files>
 absl::StatusOr<log_snapshot> basic_file_storage<Files>::load_snapshot() const {
     const auto bytes = files_.read(folder_ + '/' + detail::snapshot_name);
@@ -219,6 +233,10 @@
         record_offsets_.resize(kept);
         unwritten_.resize(end > log_bytes_ ? end - log_bytes_ : 0);
         if (end < log_bytes_) {
+            const auto last = entries.front().position.index - 1;
+            if (auto lowered = lower_synced({*log_.term_at(last), last}); !lowered.ok()) {
+                return lowered;
+            }
             log_bytes_ = end;
             if (auto truncated = truncate_synced(files_, log_file_, end); !truncated.ok()) {
                 return truncated;
@@ -238,17 +256,28 @@
         log_bytes_ += unwritten_.size();
         unwritten_.clear();
     }
-    return files_.sync(log_file_);
+    if (auto synced = files_.sync(log_file_); !synced.ok()) {
+        return synced;
+    }
+    return raise_synced();
 }
 
 template <file_operations Files>
 absl::Status basic_file_storage<Files>::install(const log_snapshot& snapshot) {
+    const bool keeps_entries = log_.term_at(snapshot.position.index) == snapshot.position.term;
+    if (auto lowered = lower_synced(keeps_entries ? log_.last() : snapshot.position);
+        !lowered.ok()) {
+        return lowered;
+    }
     auto replaced = replace(detail::snapshot_name, detail::encode_record(snapshot));
     if (!replaced.ok()) {
         return replaced;
     }
     log_.rebase(snapshot.position, snapshot.members);
-    return rewrite_log();
+    if (auto rewritten = rewrite_log(); !rewritten.ok()) {
+        return rewritten;
+    }
+    return raise_synced();
 }
 
 template <file_operations Files> absl::Status basic_file_storage<Files>::rewrite_log() {
--- a/src/hawthornstall/control/file_storage.hpp
+++ b/src/hawthornstall/control/file_storage.hpp
@@ -3,24 +3,29 @@
 /// Durable storage of one member in a folder of its own.
 
 #include "hawthornstall/control/data_files.hpp"
+#include "hawthornstall/control/log_recovery.hpp"
 #include "hawthornstall/control/log_storage.hpp"
+#include "hawthornstall/control/synced_position_file.hpp"
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 
 namespace hawthornstall::control {
 
-/// Files: `state` (identity, term and vote), `snapshot` (latest one) and `log` (entries after it).
+/// Files: `state` (identity, term and vote), `snapshot` (latest one), `log` (entries after it) and
+/// `synced` (position up to which the log has been synced).
 ///
-/// An incompletely written tail of the log is truncated, because it was never acknowledged. Any
-/// other deviation is damage. A synced tail that the file system itself loses at a record boundary
-/// cannot be distinguished from entries that were never written.
+/// What follows the synced position and is not whole is truncated, because it was never
+/// acknowledged. When the log does not reach the synced position, the folder is damaged.
 ///
 /// Appended entries are written by sync(), in one write: of several writes without a sync between
 /// them, a power loss can keep a later one and lose an earlier one, which is damage.
@@ -30,8 +35,8 @@
 
     /// Opens `folder`, which must exist. A folder without files becomes that of a new member
     /// {host, new_storage_id}; `new_storage_id` must be random and not 0. Errors: kDataLoss for a
-    /// damaged folder, kFailedPrecondition for the folder of another host or of another process,
-    /// kUnavailable when an operation of the file system fails.
+    /// damaged folder, kFailedPrecondition for the folder of another host or
+    /// of another process, kUnavailable when an operation of the file system fails.
     [[nodiscard]] static absl::StatusOr<basic_file_storage> open(const std::string& folder,
                                                                  std::string_view host,
                                                                  std::uint64_t new_storage_id,
@@ -52,8 +57,15 @@
     [[nodiscard]] absl::Status load(std::string_view host, std::uint64_t new_storage_id);
     [[nodiscard]] absl::Status create(std::string_view host, std::uint64_t new_storage_id);
     [[nodiscard]] absl::Status load_state(std::string_view bytes, std::string_view host);
-    [[nodiscard]] absl::Status load_log(std::string_view bytes);
+    [[nodiscard]] absl::Status load_log(const std::optional<std::string>& snapshot,
+                                        const std::optional<std::string>& log,
+                                        const std::optional<std::string>& synced);
+    [[nodiscard]] absl::Status repair_files(const recovered_log& recovered,
+                                            std::size_t log_file_bytes);
     [[nodiscard]] absl::Status open_log();
+    [[nodiscard]] absl::Status open_synced(const std::optional<std::string>& content);
+    [[nodiscard]] absl::Status lower_synced(const log_position& last);
+    [[nodiscard]] absl::Status raise_synced();
     [[nodiscard]] absl::Status rewrite_log();
     [[nodiscard]] absl::Status damage_error(std::string_view problem) const;
     void encode_entries(std::span<const log_entry> entries, std::string& bytes);
@@ -63,8 +75,10 @@
     std::string folder_;
     file lock_;
     file log_file_;
+    synced_position_file<Files> synced_file_;
     hard_state state_;
     memory_log log_;
+    log_position synced_;                      ///< As in the file.
     std::deque<std::uint64_t> record_offsets_; ///< Of each entry of `log_` in the log file.
     std::uint64_t log_bytes_ = 0;              ///< Written to the log file.
     std::string unwritten_;                    ///< Records that follow them.
