Keep the identity and the vote of a member whose log is damaged

Callers saw: no configuration change is accepted any more once the folders of half of the voters are damaged, or those of two hosts shortly after each other. Cause: a host answered any damage by moving its folder aside, so that it gave up its vote as well as its log, on each host on its own and without a limit. Only a leader can admit it again, and there was none. Change: as long as the state file is whole, the member keeps its identity, term and vote and the log up to the damage. The synced position tells up to which entry it may have confirmed. Until its log reaches it again, the member does not lead and votes only for logs that reach it: the vote that it would have given with its whole log, so no leader without its entries can be elected, and one with them still can. Where the position is unknown it counts as after all entries of the member's terms. A leader takes a refusal in a later confirmation round as a loss and sends the entries again.

--- a/src/hawthornstall/control/append_planner.cpp
+++ b/src/hawthornstall/control/append_planner.cpp
@@ -93,6 +93,7 @@
 void record_reply(const append_reply& reply, member_progress& progress) {
     progress.answered_round = std::max(progress.answered_round, reply.round);
     if (reply.matched) {
+        progress.matched_round = std::max(progress.matched_round, reply.round);
         progress.match_index = std::max(progress.match_index, reply.index);
         progress.next_index = std::max(progress.next_index, progress.match_index + 1);
         if (progress.match_index >= progress.in_flight_index ||
@@ -100,7 +101,11 @@
             detail::clear_in_flight(progress);
         }
     } else {
-        // A delayed reply may ask for entries that have been matched in the meantime.
+        // A delayed reply may ask for entries that have been matched in the meantime. A reply to a
+        // later round tells that the member has lost entries that it had.
+        if (reply.round > progress.matched_round) {
+            progress.match_index = std::min(progress.match_index, reply.index);
+        }
         progress.next_index =
             std::max(progress.match_index, std::min(reply.index, progress.next_index - 1)) + 1;
         detail::clear_in_flight(progress);
--- a/src/hawthornstall/control/consensus_node.hpp
+++ b/src/hawthornstall/control/consensus_node.hpp
@@ -45,6 +45,9 @@
 /// are new members without a cluster. A host that loses its data folder later can therefore not
 /// create a second cluster while another host still belongs to the first one.
 ///
+/// A member whose storage has lost entries that it may have confirmed votes only for members whose
+/// log reaches them, and does not lead, until a leader has sent it the entries again.
+///
 /// receive(), tick() and propose() collect changes. finish() makes them durable with a single sync
 /// and only then returns the messages that depend on them.
 template <log_storage Storage> class consensus_node {
@@ -88,6 +91,10 @@
     [[nodiscard]] std::uint64_t commit_index() const noexcept { return commit_index_; }
     [[nodiscard]] const member_set& members() const noexcept { return members_; }
     [[nodiscard]] const Storage& storage() const noexcept { return storage_; }
+    /// Whether damage has destroyed entries that this member may have confirmed.
+    [[nodiscard]] bool has_lost_entries() const {
+        return storage_.log().last() < storage_.acknowledged();
+    }
 
 private:
     void handle(const member_id& from, const vote_request& request, core::time_ms now);
@@ -116,7 +123,9 @@
     void send_all(std::vector<addressed_body> bodies);
     void record_status(const absl::Status& status);
     [[nodiscard]] bool has_committed_in_term() const;
-    [[nodiscard]] election_view view() const { return {members_, storage_.log().last()}; }
+    [[nodiscard]] election_view view() const {
+        return {members_, storage_.log().last(), storage_.acknowledged()};
+    }
     [[nodiscard]] const member_id& self() const { return storage_.state().self; }
 
     Storage storage_;
--- a/src/hawthornstall/control/control_event_log.cpp
+++ b/src/hawthornstall/control/control_event_log.cpp
@@ -10,6 +10,12 @@
         write({.level = core::log_level::error, .name = "data_folder_damaged"},
               {{"reason", detail}, {"moved_to", std::string_view{event.subject}}});
         break;
+    case kind::log_truncated:
+        write({.name = "log_truncated"}, {{"reason", detail}});
+        break;
+    case kind::log_complete:
+        write({.name = "log_complete"});
+        break;
     case kind::role_changed:
         write({.name = "role_changed"},
               {{"role", std::string_view{event.subject}}, {"detail", detail}});
--- a/src/hawthornstall/control/control_logic.cpp
+++ b/src/hawthornstall/control/control_logic.cpp
@@ -256,9 +256,13 @@
     if (!opened.ok()) {
         return opened.status();
     }
-    if (!opened->damaged_folder.empty()) {
+    if (!opened->damage.empty()) {
         report_({control_event::kind::folder_damaged, opened->damage, opened->damaged_folder});
     }
+    if (!opened->truncation.empty()) {
+        report_({control_event::kind::log_truncated, opened->truncation});
+    }
+    has_lost_entries_ = opened->storage.has_lost_entries();
     auto replica =
         config_replica<file_storage>::open(std::move(opened->storage), options_.consensus,
                                            detail::random_nonzero(), core::ms_clock::now());
@@ -319,6 +323,13 @@
     }
 }
 
+void control_logic::report_complete_log() {
+    if (has_lost_entries_ && !service_->replica().node().has_lost_entries()) {
+        has_lost_entries_ = false;
+        report_({control_event::kind::log_complete, {}});
+    }
+}
+
 void control_logic::receive(std::string_view peer, std::string_view body) {
     const auto now = core::ms_clock::now();
     // Messages that cannot be decoded are dropped: their senders resend on a timer.
@@ -404,6 +415,7 @@
     }
     report_role(service_->replica().node().current_election().role());
     report_members(service_->replica().node().members());
+    report_complete_log();
 }
 
 } // namespace hawthornstall::control
--- a/src/hawthornstall/control/control_logic.hpp
+++ b/src/hawthornstall/control/control_logic.hpp
@@ -92,7 +92,9 @@
 /// Event of control_logic that is logged and counted.
 struct control_event {
     enum class kind : std::uint8_t {
-        folder_damaged,   ///< `detail` tells what is damaged, `subject` is the folder's new path.
+        folder_damaged,   ///< `detail` tells what is damaged, `subject` where it is kept.
+        log_truncated,    ///< `detail` tells which tail of the log was torn.
+        log_complete,     ///< The entries that damage had destroyed were received again.
         role_changed,     ///< `subject` is the new role, `detail` tells of the contact to a leader.
         members_changed,  ///< `detail` lists the voters and the learners of the log.
         peer_reachable,   ///< `subject` is the peer.
@@ -147,6 +149,7 @@
     void report_role(member_role role);
     [[nodiscard]] std::string describe_leader_contact() const;
     void report_members(const member_set& members);
+    void report_complete_log();
     void receive(std::string_view peer, std::string_view body);
     void update_reachability(std::string_view peer, bool reachable);
     void tick();
@@ -164,7 +167,8 @@
     std::unique_ptr<control_service<file_storage>> service_; ///< Null while the storage fails.
     core::time_ms storage_retry_at_{};
     member_role last_role_ = member_role::follower;
-    member_set last_members_; ///< As last reported.
+    member_set last_members_;       ///< As last reported.
+    bool has_lost_entries_ = false; ///< As last reported.
     bool finish_scheduled_ = false;
     runtime::event_handle tick_event_;
     runtime::event_handle finish_event_;
--- a/src/hawthornstall/control/detail/file_storage_impl.hpp
+++ b/src/hawthornstall/control/detail/file_storage_impl.hpp
@@ -120,15 +120,26 @@
                                   .log = log,
                                   .synced = synced_position_file<Files>::read(synced),
                                   .term = state_.term});
-    if (recovered.is_damaged()) {
-        return damage_error(recovered.problem);
-    }
+    problem_ = std::move(recovered.problem);
     const auto log_file_bytes = log ? log->size() : 0;
+    if (!recovered.has_snapshot) {
+        keep_damaged(detail::snapshot_name, snapshot);
+    }
+    if (recovered.is_damaged() && recovered.valid_bytes < log_file_bytes) {
+        keep_damaged(detail::log_name, log);
+    }
     log_.rebase(recovered.base, std::move(recovered.members));
     log_.append(recovered.entries);
     if (auto opened = open_synced(synced); !opened.ok()) {
         return opened;
     }
+    // Written before the files are repaired, after which they show no damage.
+    if (recovered.is_damaged()) {
+        synced_ = recovered.acknowledged;
+        if (auto written = synced_file_.write_synced(files_, synced_); !written.ok()) {
+            return written;
+        }
+    }
     if (auto repaired = repair_files(recovered, log_file_bytes); !repaired.ok()) {
         return repaired;
     }
@@ -139,6 +150,12 @@
 template <file_operations Files>
 absl::Status basic_file_storage<Files>::repair_files(const recovered_log& recovered,
                                                      std::size_t log_file_bytes) {
+    if (!recovered.has_snapshot) {
+        const auto replaced = replace(detail::snapshot_name, detail::encode_record(log_snapshot{}));
+        if (!replaced.ok()) {
+            return replaced;
+        }
+    }
     if (!recovered.matches_file) {
         return rewrite_log();
     }
@@ -152,6 +169,15 @@
                                        : files_.sync(log_file_);
 }
 
+/// Keeps a copy of a damaged file for the analysis, if the disk has room for it.
+template <file_operations Files>
+void basic_file_storage<Files>::keep_damaged(const std::string& name,
+                                             const std::optional<std::string>& bytes) {
+    if (bytes) {
+        replace(name + ".damaged", *bytes).IgnoreError();
+    }
+}
+
 template <file_operations Files> absl::Status basic_file_storage<Files>::open_log() {
     auto file = files_.open(folder_ + '/' + detail::log_name);
     if (!file.ok()) {
@@ -172,7 +198,7 @@
 /// the log of the leader and so were never committed.
 template <file_operations Files>
 absl::Status basic_file_storage<Files>::lower_synced(const log_position& last) {
-    if (last >= synced_) {
+    if (has_lost_entries() || last >= synced_) {
         return absl::OkStatus();
     }
     synced_ = last;
--- a/src/hawthornstall/control/election.cpp
+++ b/src/hawthornstall/control/election.cpp
@@ -3,14 +3,6 @@
 #include <algorithm>
 
 namespace hawthornstall::control {
-namespace detail {
-
-bool is_at_least_as_up_to_date(log_position candidate, log_position own) {
-    return std::tie(candidate.term, candidate.index) >= std::tie(own.term, own.index);
-}
-
-} // namespace detail
-
 bool is_quorum(std::span<const member_id> voters, const std::set<member_id>& counted) {
     const auto count = std::ranges::count_if(
         voters, [&](const member_id& voter) { return counted.count(voter) != 0; });
@@ -26,8 +18,10 @@
 }
 
 std::vector<addressed_body> election::tick(const election_view& view, core::time_ms now) {
+    // A member that has lost entries would lead without entries that are committed.
     const bool may_lead =
-        std::ranges::find(view.members.voters, self_) != view.members.voters.end();
+        std::ranges::find(view.members.voters, self_) != view.members.voters.end() &&
+        view.last >= view.acknowledged;
     if (role_ == member_role::leader || now < deadline_ || !may_lead) {
         return {};
     }
@@ -74,7 +68,8 @@
     if (has_live_leader(now)) {
         return std::nullopt;
     }
-    const bool up_to_date = detail::is_at_least_as_up_to_date(request.last, view.last);
+    // A member that has lost entries still votes for what it has confirmed, as if it had them.
+    const bool up_to_date = request.last >= view.acknowledged;
     if (request.pre_vote) {
         const bool granted = up_to_date && request.term > term_;
         return vote_reply{
--- a/src/hawthornstall/control/election.hpp
+++ b/src/hawthornstall/control/election.hpp
@@ -22,6 +22,8 @@
 struct election_view {
     const member_set& members; ///< Latest members in the log.
     log_position last;         ///< Last entry of the log.
+    /// Last entry that this member may have confirmed; after `last` when it has lost entries.
+    log_position acknowledged;
 };
 
 /// Body of a message and its receiver.
--- a/src/hawthornstall/control/file_storage.cpp
+++ b/src/hawthornstall/control/file_storage.cpp
@@ -50,9 +50,18 @@
     if (!storage.ok()) {
         return storage.status();
     }
-    return opened_storage{.storage = std::move(*storage),
+    opened_storage opened{.storage = std::move(*storage),
+                          .damage = std::move(damage),
                           .damaged_folder = std::move(moved),
-                          .damage = std::move(damage)};
+                          .truncation = {}};
+    const auto& problem = opened.storage.problem();
+    if (opened.storage.has_lost_entries()) {
+        opened.damage = problem;
+        opened.damaged_folder = folder;
+    } else {
+        opened.truncation = problem;
+    }
+    return opened;
 }
 
 } // namespace hawthornstall::control
--- a/src/hawthornstall/control/log_storage.hpp
+++ b/src/hawthornstall/control/log_storage.hpp
@@ -18,6 +18,9 @@
 /// - `save_state(state)`: durable on return.
 /// - `append(entries)`: as memory_log::append; durable after the next `sync()`.
 /// - `install(snapshot)`: durable on return; the log follows memory_log::rebase.
+/// - `acknowledged()`: last entry that the member may have confirmed to others. After the last
+/// entry
+///   of the log once damage has destroyed synced entries, and until the log reaches it again.
 /// - `load_snapshot()`: the latest installed snapshot; empty default when there is none.
 template <class Storage>
 concept log_storage = std::movable<Storage> &&
@@ -25,6 +28,7 @@
              std::span<const log_entry> entries, const log_snapshot& snapshot) {
     { reader.state() } -> std::same_as<const hard_state&>;
     { reader.log() } -> std::same_as<const memory_log&>;
+    { reader.acknowledged() } -> std::same_as<log_position>;
     { reader.load_snapshot() } -> std::same_as<absl::StatusOr<log_snapshot>>;
     { storage.save_state(state) } -> std::same_as<absl::Status>;
     { storage.append(entries) } -> std::same_as<absl::Status>;
--- a/src/hawthornstall/control/replication_progress.hpp
+++ b/src/hawthornstall/control/replication_progress.hpp
@@ -18,6 +18,7 @@
 struct member_progress {
     std::uint64_t next_index = 1;     ///< First entry to send.
     std::uint64_t match_index = 0;    ///< Last entry known to be synced by the member.
+    std::uint64_t matched_round = 0;  ///< Latest confirmation round whose request it accepted.
     std::uint64_t answered_round = 0; ///< Latest confirmation round that it answered.
     std::uint64_t sent_round = 0;     ///< Latest confirmation round that was sent to it.
     /// Commit index in the latest append request that continued its log, limited to the last entry
--- a/tests/hawthornstall/control/append_planner_test.cpp
+++ b/tests/hawthornstall/control/append_planner_test.cpp
@@ -137,5 +137,35 @@
     CHECK_FALSE(leader.progress.is_snapshot_in_flight);
 }
 
+struct refusal_case {
+    std::string_view name;
+    std::uint64_t round; ///< Of the refused request. A request of round 7 was accepted.
+    std::uint64_t retry_after;
+    std::uint64_t match_index;
+    std::uint64_t next_index;
+};
+
+// Guards against a member that has lost entries to a damaged disk and never receives them again,
+// because its leader only goes back to the last entry that the member once had.
+TEST_CASE("a member that has lost entries is sent them again") {
+    constexpr std::array cases{
+        refusal_case{"delayed refusal", 7, 4, 10, 11},
+        refusal_case{"earlier refusal", 6, 0, 10, 11},
+        refusal_case{"a part of the log is lost", 8, 4, 4, 5},
+        refusal_case{"the whole log is lost", 8, 0, 0, 1},
+        refusal_case{"entries not yet sent are missing", 8, 12, 10, 11},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        member_progress progress{.next_index = 11};
+        record_reply({.term = leader_term, .matched = true, .index = 10, .round = 7}, progress);
+        record_reply(
+            {.term = leader_term, .matched = false, .index = test.retry_after, .round = test.round},
+            progress);
+        CHECK(progress.match_index == test.match_index);
+        CHECK(progress.next_index == test.next_index);
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::control
--- a/tests/hawthornstall/control/memory_storage.hpp
+++ b/tests/hawthornstall/control/memory_storage.hpp
@@ -4,6 +4,9 @@
 
 #include "hawthornstall/control/log_storage.hpp"
 
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <utility>
 
@@ -21,6 +24,18 @@
     memory_log log;
     log_snapshot snapshot;
     storage_faults faults;
+    log_position acknowledged{}; ///< Last entry that was synced, also after damage.
+
+    /// Loses the synced entries after `last`, as a damaged disk does.
+    void lose_entries_after(std::uint64_t last) {
+        const auto entries = log.entries_from(log.base().index + 1);
+        const auto kept = std::min<std::size_t>(
+            entries.size(), last > log.base().index ? last - log.base().index : 0);
+        memory_log damaged;
+        damaged.rebase(log.base(), log.members_at(log.base().index));
+        damaged.append(entries.first(kept));
+        log = std::move(damaged);
+    }
 };
 
 /// Storage on a simulated disk. A new storage on the same disk has the state after a crash.
@@ -31,6 +46,9 @@
 
     [[nodiscard]] const hard_state& state() const { return state_; }
     [[nodiscard]] const memory_log& log() const { return log_; }
+    [[nodiscard]] log_position acknowledged() const {
+        return std::max(disk_->acknowledged, log_.last());
+    }
     [[nodiscard]] absl::StatusOr<log_snapshot> load_snapshot() const { return disk_->snapshot; }
 
     [[nodiscard]] absl::Status save_state(const hard_state& state) {
@@ -52,6 +70,7 @@
     [[nodiscard]] absl::Status sync() {
         if (!disk_->faults.ignores_sync) {
             disk_->log = log_;
+            disk_->acknowledged = std::max(disk_->acknowledged, log_.last());
         }
         return absl::OkStatus();
     }
@@ -60,6 +79,8 @@
         log_.rebase(snapshot.position, snapshot.members);
         disk_->log.rebase(snapshot.position, snapshot.members);
         disk_->snapshot = snapshot;
+        const bool has_lost_entries = disk_->log.last() < disk_->acknowledged;
+        disk_->acknowledged = has_lost_entries ? disk_->acknowledged : disk_->log.last();
         return absl::OkStatus();
     }
 
