Never count a host that has lost its membership as a new one

Callers saw: after all folders were moved aside, an edit on top of version 4 was answered with version 0: the acknowledged configuration was gone. Cause: a host that moves its folder starts as a new member without a cluster, and the host whose name sorts first creates a cluster once all of its hosts are without one. It could not tell a host that forgot from one that never belonged. A host with that file joins with the reserved identifier of an unknown cluster: it creates none, hosts that could create one ignore its requests, and a leader admits it as before. An earlier config.damaged-* is removed, so that they do not fill the disk. Tests: consensus_node_test (who creates a cluster), file_storage_test (folders lost in any combination), the last rows of damaged_log_test: the state files of all three hosts are damaged, and no edit is accepted.

--- a/src/hawthornstall/control/consensus_node.hpp
+++ b/src/hawthornstall/control/consensus_node.hpp
@@ -43,7 +43,7 @@
 ///
 /// The host whose name sorts first in `settings.hosts` creates the cluster, once all of these hosts
 /// are new members without a cluster. A host that loses its data folder later can therefore not
-/// create a second cluster while another host still belongs to the first one.
+/// create a second cluster while another host still belongs to the first one, or knows that it did.
 ///
 /// A member whose storage has lost entries that it may have confirmed votes only for members whose
 /// log reaches them, and does not lead, until a leader has sent it the entries again.
--- a/src/hawthornstall/control/consensus_types.hpp
+++ b/src/hawthornstall/control/consensus_types.hpp
@@ -9,6 +9,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -72,10 +73,20 @@
     bool operator==(const log_entry&) const = default;
 };
 
+/// Cluster of a host that has lost its membership and does not know its cluster. Such a host is not
+/// a new one: it neither creates a cluster nor lets another host do so.
+constexpr std::uint64_t unknown_cluster_id = std::numeric_limits<std::uint64_t>::max();
+
+/// Whether a member with this cluster_id belongs to a cluster, and so may hold entries of it.
+[[nodiscard]] constexpr bool is_cluster(std::uint64_t cluster_id) {
+    return cluster_id != 0 && cluster_id != unknown_cluster_id;
+}
+
 /// State besides the log that a member makes durable before it sends messages that depend on it.
 struct hard_state {
     member_id self;
-    std::uint64_t cluster_id = 0; ///< Random, set when the cluster is created; 0 until joined.
+    /// Random, set when the cluster is created; 0 until joined, or unknown_cluster_id.
+    std::uint64_t cluster_id = 0;
     std::uint64_t term = 0;
     std::optional<member_id> voted_for; ///< Candidate that this member voted for in `term`.
 
--- a/src/hawthornstall/control/detail/consensus_node_impl.hpp
+++ b/src/hawthornstall/control/detail/consensus_node_impl.hpp
@@ -28,9 +28,10 @@
         message.to == self() ||
         (is_join && message.to == member_id{.host = self().host, .storage_id = 0});
     // A member without a cluster joins the cluster of the leader that added it as a learner.
-    const bool same_cluster = message.cluster_id == cluster_id_ ||
-                              (is_join && message.cluster_id == 0) ||
-                              (from_leader && cluster_id_ == 0);
+    const bool from_outside =
+        message.cluster_id == 0 || (message.cluster_id == unknown_cluster_id && cluster_id_ != 0);
+    const bool same_cluster = message.cluster_id == cluster_id_ || (is_join && from_outside) ||
+                              (from_leader && !is_cluster(cluster_id_));
     return addressed && same_cluster && message.from.storage_id != 0;
 }
 
@@ -43,7 +44,7 @@
         forward_join(message);
     }
     std::visit([&](const auto& body) { handle(message.from, body, now); }, message.body);
-    if (cluster_id_ == 0 && election_.leader() == message.from) {
+    if (!is_cluster(cluster_id_) && election_.leader() == message.from) {
         cluster_id_ = message.cluster_id;
     }
     lead_if_elected(now);
--- a/src/hawthornstall/control/file_storage.hpp
+++ b/src/hawthornstall/control/file_storage.hpp
@@ -111,9 +111,9 @@
 };
 
 /// Opens `parent`/config as file_storage::open does, creating it when it is missing. A folder whose
-/// vote is lost is moved to `parent`/config.damaged-`wall_now` and followed by that of a new
-/// member, so that this host rejoins as a learner and cannot vote without the state that it has
-/// lost.
+/// vote is lost is moved to `parent`/config.damaged-`wall_now`, which replaces earlier ones, and
+/// followed by that of a new member, so that this host rejoins as a learner and cannot vote without
+/// the state that it has lost. Such a host never takes part in the creation of a cluster.
 [[nodiscard]] absl::StatusOr<opened_storage> open_or_replace(const std::string& parent,
                                                              std::string_view host,
                                                              std::uint64_t new_storage_id,
--- a/tests/hawthornstall/control/consensus_node_test.cpp
+++ b/tests/hawthornstall/control/consensus_node_test.cpp
@@ -317,6 +317,52 @@
     }
 }
 
+struct forgotten_case {
+    std::string_view name;
+    std::vector<std::uint64_t> cluster_ids; ///< Of each host, all of which have empty logs.
+    bool creates_cluster;
+};
+
+// Guards against a second cluster, and so a second configuration log, that hosts create which have
+// lost their membership in the first one.
+TEST_CASE("only hosts that never belonged to a cluster create one") {
+    constexpr auto lost = unknown_cluster_id;
+    const std::array cases{
+        forgotten_case{"all are new", {0, 0, 0}, true},
+        forgotten_case{"the creating host has lost its membership", {lost, 0, 0}, false},
+        forgotten_case{"another host has lost its membership", {0, 0, lost}, false},
+        forgotten_case{"all have lost it", {lost, lost, lost}, false},
+        forgotten_case{"another host belongs to a cluster", {0, 0, 7}, false},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        small_cluster cluster{3};
+        for (std::size_t host = 0; host < 3; ++host) {
+            cluster.disks[host]->state.cluster_id = test.cluster_ids[host];
+            cluster.restart(host);
+        }
+        cluster.run_for(join_time);
+        const bool has_leader =
+            std::ranges::any_of(cluster.nodes, [](const auto& node) { return node.is_leader(); });
+        CHECK(has_leader == test.creates_cluster);
+    }
+}
+
+// Guards against a host that has lost its membership and is not admitted by the cluster that it
+// belonged to.
+TEST_CASE("a host that has lost its membership joins the existing cluster") {
+    small_cluster cluster{3};
+    cluster.run_for(join_time);
+    const auto host = (cluster.leader() + 1) % 3;
+    cluster.lose_disk(host);
+    cluster.disks[host]->state.cluster_id = unknown_cluster_id;
+    cluster.restart(host);
+    cluster.run_for(join_time);
+    const auto& leader = cluster.nodes[cluster.leader()];
+    CHECK(is_voter(leader.members(), cluster.disks[host]->state.self));
+    CHECK(cluster.disks[host]->state.cluster_id == leader.storage().state().cluster_id);
+}
+
 // Guards against changes that a leader commits alone while its cluster is created, and that are
 // lost with its disk.
 TEST_CASE("no change is accepted while a cluster of several hosts has one voter") {
--- a/tests/hawthornstall/control/file_storage_test.cpp
+++ b/tests/hawthornstall/control/file_storage_test.cpp
@@ -329,12 +329,54 @@
     write_all(parent.path() + "/config/state", "x");
     const auto replaced = open(storage_id + 2);
     REQUIRE(replaced.ok());
-    CHECK(replaced->storage.state() == hard_state{{"control-1", storage_id + 2}, 0, 0, {}});
+    CHECK(replaced->storage.state() ==
+          hard_state{{"control-1", storage_id + 2}, unknown_cluster_id, 0, {}});
     CHECK(replaced->damaged_folder == parent.path() + "/config.damaged-123");
     CHECK(replaced->damage.find("/config: the state file is damaged") != std::string::npos);
     CHECK(read_all(replaced->damaged_folder + "/state") == "x");
 }
 
+struct lost_folder_case {
+    std::string_view name;
+    std::function<void(const std::string& parent)> lose; ///< After the folder was set aside.
+};
+
+// Guards against a host that counts as new, and so takes part in the creation of a second cluster,
+// because it has forgotten that it was a member.
+TEST_CASE("a host that has lost its membership never counts as new") {
+    const std::array cases{
+        lost_folder_case{"nothing more",
+                         [](auto&) {
+                         }},
+        lost_folder_case{"the damaged folder is lost",
+                         [](auto& parent) {
+                             std::filesystem::remove_all(parent + "/config.damaged-123");
+                         }},
+        lost_folder_case{"the new folder is lost",
+                         [](auto& parent) {
+                             std::filesystem::remove_all(parent + "/config");
+                         }},
+        lost_folder_case{"both folders are lost",
+                         [](auto& parent) {
+                             std::filesystem::remove_all(parent + "/config.damaged-123");
+                             std::filesystem::remove_all(parent + "/config");
+                         }},
+    };
+    for (const auto& test : cases) {
+        CAPTURE(test.name);
+        const scratch_folder parent;
+        const auto open = [&](std::uint64_t new_storage_id) {
+            return open_or_replace(parent.path(), "control-1", new_storage_id,
+                                   core::from_count(123));
+        };
+        CHECK(open(storage_id)->storage.state().cluster_id == 0);
+        write_all(parent.path() + "/config/state", "x");
+        CHECK(open(storage_id + 1)->storage.state().cluster_id == unknown_cluster_id);
+        test.lose(parent.path());
+        CHECK(open(storage_id + 2)->storage.state().cluster_id == unknown_cluster_id);
+    }
+}
+
 // Guards against two processes, or processes configured as different hosts, that use one folder.
 TEST_CASE("a folder belongs to one process and one host") {
     const scratch_folder folder;
--- a/tests/process/damaged_log_test.bash
+++ b/tests/process/damaged_log_test.bash
@@ -71,3 +71,9 @@
 sleep 5
 edit 2 && fail "an edit was accepted although the last entries are lost on all hosts"
 has_version a1 "$version" || fail "a1 no longer serves version $version"
+
+echo "the state files of all hosts"
+restart_control flip_state c1 c2 c3
+sleep 5
+edit 2 && fail "hosts that have lost their votes have created a second log"
+has_version a1 "$version" || fail "a1 no longer serves version $version"
