Start a member without a cluster with an empty log

Callers saw: nothing yet; found by asking which interrupted writes of a folder could found a log.

Change: a member without a cluster holds no entries; what its files hold is dropped when it starts.

--- a/src/hawthornstall/control/detail/file_storage_impl.hpp
+++ b/src/hawthornstall/control/detail/file_storage_impl.hpp
@@ -74,7 +74,8 @@
     if (auto loaded = load_state(**state, host); !loaded.ok()) {
         return loaded;
     }
-    return load_log(*snapshot, *log, *synced);
+    return is_cluster(state_.cluster_id) ? load_log(*snapshot, *log, *synced)
+                                         : start_empty(*synced);
 }
 
 template <file_operations Files>
@@ -169,6 +170,24 @@
                                        : files_.sync(log_file_);
 }
 
+/// Opens the log of a member without a cluster, which holds no entries. What the files hold was
+/// left by an interrupted creation of a cluster or installation of the first snapshot.
+template <file_operations Files>
+absl::Status basic_file_storage<Files>::start_empty(const std::optional<std::string>& synced) {
+    if (auto replaced = replace(detail::snapshot_name, detail::encode_record(log_snapshot{}));
+        !replaced.ok()) {
+        return replaced;
+    }
+    if (auto rewritten = rewrite_log(); !rewritten.ok()) {
+        return rewritten;
+    }
+    if (auto opened = open_synced(synced); !opened.ok()) {
+        return opened;
+    }
+    synced_ = {};
+    return synced_file_.write_synced(files_, synced_);
+}
+
 /// Keeps a copy of a damaged file for the analysis, if the disk has room for it.
 template <file_operations Files>
 void basic_file_storage<Files>::keep_damaged(const std::string& name,
--- a/src/hawthornstall/control/file_storage.hpp
+++ b/src/hawthornstall/control/file_storage.hpp
@@ -68,6 +68,7 @@
     [[nodiscard]] absl::Status load_log(const std::optional<std::string>& snapshot,
                                         const std::optional<std::string>& log,
                                         const std::optional<std::string>& synced);
+    [[nodiscard]] absl::Status start_empty(const std::optional<std::string>& synced);
     void keep_damaged(const std::string& name, const std::optional<std::string>& bytes);
     [[nodiscard]] absl::Status repair_files(const recovered_log& recovered,
                                             std::size_t log_file_bytes);
--- a/tests/hawthornstall/torn_writes/torn_writes_test.cpp
+++ b/tests/hawthornstall/torn_writes/torn_writes_test.cpp
@@ -68,5 +68,32 @@
     }
 }
 
+// Guards against a member that the creation of a cluster, interrupted by a loss of power, has left
+// without a cluster and yet as its only voter: it would lead alone.
+TEST_CASE("an interrupted creation of a cluster leaves a new member or the whole cluster") {
+    for (const auto& torn : torn_cases) {
+        for (unsigned seed = 0; seed < seeds; ++seed) {
+            bool completed = false;
+            for (std::size_t operation = 1; !completed; ++operation) {
+                CAPTURE(torn.name);
+                CAPTURE(seed);
+                CAPTURE(operation);
+                std::mt19937 random{seed};
+                simulated_disk disk;
+                disk.set_fault(disk_fault::power_lost_after, operation);
+                auto first = open_simulated(disk);
+                completed = first.ok() && create_cluster(*first, 9).ok();
+                disk.restart(random, std::span{&torn.extent, 1});
+                const auto found = open_simulated(disk);
+                INFO(found.status().ToString());
+                REQUIRE(found.ok());
+                const bool has_members = !found->log().members_at(1).voters.empty();
+                CHECK(has_members == (found->state().cluster_id == 9));
+                CHECK_FALSE(found->has_lost_entries());
+            }
+        }
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::control
