--- a/src/hawthornstall/control/consensus_types.hpp
+++ b/src/hawthornstall/control/consensus_types.hpp
@@ -56,7 +56,8 @@
     std::uint64_t index = 0;
 
     /// Orders by term, then by index: the later of two logs is the one whose last entry is later.
-    auto operator<=>(const log_position&) const = default;
+    // clang-tidy takes the 0 of the generated comparisons for a null pointer.
+    auto operator<=>(const log_position&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Position up to which a member has synced its log, as it stands in the member's files.
--- a/src/hawthornstall/control/detail/file_storage_impl.hpp
+++ b/src/hawthornstall/control/detail/file_storage_impl.hpp
@@ -152,7 +152,7 @@
 absl::Status basic_file_storage<Files>::repair_files(const recovered_log& recovered,
                                                      std::size_t log_file_bytes) {
     if (!recovered.has_snapshot) {
-        const auto replaced = replace(detail::snapshot_name, detail::encode_record(log_snapshot{}));
+        auto replaced = replace(detail::snapshot_name, detail::encode_record(log_snapshot{}));
         if (!replaced.ok()) {
             return replaced;
         }
--- a/tests/hawthornstall/control/control_logic_test.cpp
+++ b/tests/hawthornstall/control/control_logic_test.cpp
@@ -120,29 +120,46 @@
 struct restart_case {
     std::string_view name;
     std::string damaged_host; ///< Host whose folder is damaged before the start, or empty.
+    std::string damaged_file;
     edit_command edit;
     edit_answer answer;
 };
 
-// Guards against edits that a restart of all control hosts loses or applies twice, also when one
-// data folder is damaged. Uses real files and links.
+// Guards against edits that a restart of all control hosts loses or applies twice, also when the
+// files of one host are damaged, and against damage that is not reported. Uses real files and
+// links.
 TEST_CASE("edits survive a restart of all control hosts") {
     const scratch_folder parent;
     const std::array cases{
-        restart_case{"first start", "", make_edit("first", 0), {edit_result::accepted, 1}},
+        restart_case{"first start", "", "", make_edit("first", 0), {edit_result::accepted, 1}},
         restart_case{
-            "resent after a restart", "", make_edit("first", 0), {edit_result::accepted, 1}},
-        restart_case{
-            "one folder damaged", "control-1", make_edit("next", 1), {edit_result::accepted, 2}},
+            "resent after a restart", "", "", make_edit("first", 0), {edit_result::accepted, 1}},
+        restart_case{"one state damaged",
+                     "control-1",
+                     "state",
+                     make_edit("next", 1),
+                     {edit_result::accepted, 2}},
+        restart_case{"one log damaged",
+                     "control-2",
+                     "log",
+                     make_edit("third", 2),
+                     {edit_result::accepted, 3}},
+        restart_case{"one snapshot damaged",
+                     "control-0",
+                     "snapshot",
+                     make_edit("fourth", 3),
+                     {edit_result::accepted, 4}},
         restart_case{"edit with an outdated base version",
+                     "",
                      "",
                      make_edit("late", 1),
-                     {edit_result::version_conflict, 2}},
+                     {edit_result::version_conflict, 4}},
     };
     for (const auto& test : cases) {
         CAPTURE(test.name);
         if (!test.damaged_host.empty()) {
-            write_all(parent.path() + '/' + test.damaged_host + "/config/state", "x");
+            write_all(parent.path() + '/' + test.damaged_host + "/config/" + test.damaged_file,
+                      "x");
         }
         const auto result = run_cluster(parent.path(), test.edit);
         CHECK(result.answer == test.answer);
--- a/tests/hawthornstall/control/file_storage_test.cpp
+++ b/tests/hawthornstall/control/file_storage_test.cpp
@@ -147,15 +147,11 @@
 /// Checks that the storage has lost entries, and keeps its identity, term and vote and the position
 /// that it may have confirmed.
 void check_reported_loss(const file_storage& storage, const position_case& position) {
-    CHECK(storage.state().self == member_id{"control-1", storage_id});
-    CHECK(storage.state().term == 1);
+    CHECK(storage.state() == hard_state{{"control-1", storage_id}, 9, 1, {}});
     CHECK(storage.has_lost_entries());
     CHECK_FALSE(storage.problem().empty());
-    if (position.is_known) {
-        CHECK(storage.acknowledged() == sample_last);
-    } else {
-        CHECK(storage.acknowledged() > sample_last);
-    }
+    CHECK(storage.acknowledged() >= sample_last);
+    CHECK((storage.acknowledged() == sample_last) == position.is_known);
 }
 
 // Guards against a log that cannot be read or extended after a crash during the write of a record.
