Sync the names of a data folder before its files are read

Callers saw: nothing yet; found by the review of this fix. Cause: a process that ends between the rename of a replaced file and the sync of the folder leaves a name that a loss of power can undo. The next process read the new file and confirmed its vote or its entries, although neither was durable; a member could vote twice in a term. The tests never lost power after a restart of the process. Change: opening a folder syncs it first. Tests: ended_process_test ends the process at each operation, confirms more after the restart and then loses power; 41 of its 8,160 checks failed before. Measured: with the change all checks pass, as do the other tests of file faults.

--- a/src/hawthornstall/control/detail/file_storage_impl.hpp
+++ b/src/hawthornstall/control/detail/file_storage_impl.hpp
@@ -56,6 +56,10 @@
         return lock.status();
     }
     lock_ = std::move(*lock);
+    // A process that ended before it synced the folder leaves names that a loss of power can undo.
+    if (auto synced = files_.sync_folder(folder_); !synced.ok()) {
+        return synced;
+    }
     const auto state = files_.read(folder_ + '/' + detail::state_name);
     const auto snapshot = files_.read(folder_ + '/' + detail::snapshot_name);
     const auto log = files_.read(folder_ + '/' + detail::log_name);
