Bound what a damaged member has confirmed by all that its files show

Callers saw: nothing yet; found by the review of this fix. Cause: the synced position may lag behind the log after a loss of power. Once there is damage, the last whole entry anywhere in the log file counts too; without the log file the end is unknown. A folder of an earlier version without a position is bounded by the entries that the rest of its log has room for, so that it ends with a few more entries of the same leader. A file of more than two slots is read as two. A missing log file is expected to leave the end unknown, which is the stricter answer.

--- a/src/hawthornstall/control/detail/file_storage_impl.hpp
+++ b/src/hawthornstall/control/detail/file_storage_impl.hpp
@@ -326,7 +326,9 @@
     if (auto rewritten = rewrite_log(); !rewritten.ok()) {
         return rewritten;
     }
-    return raise_synced();
+    // Durable, so that it is never before the snapshot.
+    synced_ = acknowledged();
+    return synced_file_.write_synced(files_, synced_);
 }
 
 template <file_operations Files> absl::Status basic_file_storage<Files>::rewrite_log() {
--- a/src/hawthornstall/control/log_recovery.cpp
+++ b/src/hawthornstall/control/log_recovery.cpp
@@ -86,9 +86,34 @@
     return true;
 }
 
-/// A position after all entries that a member in `term` can have confirmed.
-log_position unknown_position(std::uint64_t term) {
-    return {.term = term, .index = std::numeric_limits<std::uint64_t>::max()};
+/// Position of the last whole entry anywhere in the log file, also after damage. Records start at
+/// multiples of their alignment.
+log_position last_whole_entry(std::string_view bytes) {
+    log_position last;
+    for (std::uint64_t offset = 0; offset < bytes.size(); offset += record_alignment) {
+        const auto record = first_record(bytes.substr(offset));
+        if (!record) {
+            continue;
+        }
+        if (const auto entry = wire::decode<log_entry>(*record); entry.ok()) {
+            last = std::max(last, entry->position);
+        }
+    }
+    return last;
+}
+
+/// Last entry that a member with a damaged log can have confirmed, as far as its files tell. The
+/// synced position may be an earlier one than the member has confirmed.
+log_position confirmed_position(const log_files& files, const recovered_log& recovered) {
+    const auto log = files.log.value_or("");
+    if (files.synced && files.log) {
+        return std::max(*files.synced, last_whole_entry(log));
+    }
+    if (!recovered.has_snapshot || !files.log) {
+        return {.term = files.term, .index = std::numeric_limits<std::uint64_t>::max()};
+    }
+    const auto unread = log.size() - recovered.valid_bytes;
+    return {.term = files.term, .index = recovered.last().index + unread / min_record_bytes};
 }
 
 std::string describe(const log_position& position) {
@@ -105,19 +130,18 @@
 recovered_log recover_log(const log_files& files) {
     recovered_log recovered;
     detail::load_snapshot(files.snapshot, recovered);
-    bool was_altered = true;
+    bool is_altered = true;
     if (recovered.has_snapshot && files.log) {
         auto read = detail::read_records(*files.log);
-        was_altered = read.was_altered;
-        was_altered = !detail::take_entries(std::move(read), recovered) || was_altered;
+        // With a synced position, only what is missing up to it counts as damage of a record.
+        const bool has_altered_record = read.was_altered && !files.synced;
+        is_altered = !detail::take_entries(std::move(read), recovered) || has_altered_record;
     } else if (recovered.has_snapshot) {
         recovered.problem = "the log file is missing";
     }
-    if (files.synced) {
-        recovered.acknowledged = *files.synced;
-    } else {
-        recovered.acknowledged =
-            was_altered ? detail::unknown_position(files.term) : recovered.last();
+    recovered.acknowledged = files.synced.value_or(recovered.last());
+    if (is_altered || recovered.is_damaged()) {
+        recovered.acknowledged = detail::confirmed_position(files, recovered);
     }
     if (recovered.is_damaged()) {
         recovered.problem += (recovered.problem.empty() ? "" : "; ") +
--- a/src/hawthornstall/control/log_recovery.hpp
+++ b/src/hawthornstall/control/log_recovery.hpp
@@ -16,7 +16,7 @@
 struct log_files {
     std::optional<std::string_view> snapshot;
     std::optional<std::string_view> log;
-    /// Position up to which the log is known to have been synced; empty when nothing tells.
+    /// Position up to which the log is known to have been synced; empty when it is unknown.
     std::optional<log_position> synced;
     std::uint64_t term = 0; ///< Term of the member's saved state.
 };
@@ -45,11 +45,13 @@
 /// Reads the log from `files`.
 ///
 /// Bytes after the synced position are those of a write that a loss of power has interrupted. They
-/// can be of any content, and are dropped from the first record on that is not whole. An incomplete
-/// record at or before the synced position is damage. Without a synced position, as in the folders
-/// of earlier versions, an incomplete record is damage unless it ends as described at
-/// scan_records(); what the member has confirmed is then unknown, and `acknowledged` is after all
-/// entries of the terms that it has seen.
+/// can be of any content, and are dropped from the first record on that is not whole. A record that
+/// is not whole at or before the synced position, a missing file, a damaged snapshot and a gap
+/// between the files are damage. `acknowledged` is then the last position that any file shows.
+///
+/// Without a synced position, as in the folders of earlier versions, a record that is not whole is
+/// damage unless it ends as described at append_record(). `acknowledged` is then after all entries
+/// that the log file has room for, or after all entries of the member's terms.
 [[nodiscard]] recovered_log recover_log(const log_files& files);
 
 } // namespace hawthornstall::control
--- a/src/hawthornstall/control/record_format.cpp
+++ b/src/hawthornstall/control/record_format.cpp
@@ -13,7 +13,6 @@
 static_assert(std::endian::native == std::endian::little, "records are written in native order");
 
 constexpr std::size_t header_bytes = 16;
-constexpr std::size_t alignment = 8;
 constexpr std::size_t sector_bytes = 512;
 constexpr std::uint64_t trailer = 0x9d7b5a3cc3a5b7d9;
 constexpr char padding = '\x5a';
@@ -25,6 +24,7 @@
     std::uint64_t payload_hash = 0;
 };
 static_assert(sizeof(record_header) == header_bytes);
+static_assert(header_bytes + sizeof trailer == min_record_bytes);
 
 std::uint32_t length_checksum_of(std::uint32_t length) {
     return static_cast<std::uint32_t>(XXH3_64bits_withSeed(&length, sizeof length, length_seed));
@@ -44,7 +44,7 @@
 }
 
 std::uint64_t padded_length(std::uint64_t length) {
-    return (length + alignment - 1) / alignment * alignment;
+    return (length + record_alignment - 1) / record_alignment * record_alignment;
 }
 
 /// Whether the bytes from some sector boundary before `end` up to the end of the file are zeros, as
@@ -77,6 +77,20 @@
     detail::append_bytes(bytes, detail::trailer);
 }
 
+std::optional<std::string_view> first_record(std::string_view bytes) {
+    if (bytes.size() < min_record_bytes) {
+        return std::nullopt;
+    }
+    const auto header = detail::read_bytes<detail::record_header>(bytes);
+    if (header.length_checksum != detail::length_checksum_of(header.length) ||
+        min_record_bytes + detail::padded_length(header.length) > bytes.size()) {
+        return std::nullopt;
+    }
+    const auto body = bytes.substr(detail::header_bytes);
+    return detail::is_intact(body, header) ? std::optional{body.substr(0, header.length)}
+                                           : std::nullopt;
+}
+
 record_scan scan_records(std::string_view bytes) {
     record_scan scan;
     while (scan.valid_bytes < bytes.size()) {
--- a/src/hawthornstall/control/record_format.hpp
+++ b/src/hawthornstall/control/record_format.hpp
@@ -2,6 +2,7 @@
 
 /// Checksummed records, in which a torn write at the end can be distinguished from damage.
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,6 +20,12 @@
 /// back to a sector boundary mean that the sector was not written.
 void append_record(std::string& bytes, std::string_view payload);
 
+/// Records start at multiples of this many bytes.
+constexpr std::size_t record_alignment = 8;
+
+/// Size of a record without payload.
+constexpr std::size_t min_record_bytes = 24;
+
 /// How a sequence of records ends.
 enum class record_end : std::uint8_t {
     whole,   ///< After a complete record.
@@ -42,6 +49,9 @@
 /// Reads records up to the end of `bytes` or the first one that is torn or damaged.
 [[nodiscard]] record_scan scan_records(std::string_view bytes);
 
+/// Payload of the record at the start of `bytes`; empty when it is not whole.
+[[nodiscard]] std::optional<std::string_view> first_record(std::string_view bytes);
+
 /// Payload of the record if `bytes` is exactly one complete record.
 [[nodiscard]] std::optional<std::string_view> single_record(std::string_view bytes);
 
--- a/src/hawthornstall/control/synced_position_file.hpp
+++ b/src/hawthornstall/control/synced_position_file.hpp
@@ -22,7 +22,7 @@
 ///
 /// A position is written after the log has been synced up to it, and is itself synced rarely, since
 /// a sync takes as long as that of the log. After a loss of power the file may hold an earlier
-/// position, never a later one: records after it that the disk has altered look like a torn write.
+/// position than the log, and records after it that the disk has altered look like a torn write.
 template <file_operations Files> class synced_position_file {
 public:
     /// Slots are in pages of their own, because a page may be written as a whole.
@@ -86,12 +86,13 @@
     latest_slot(const std::optional<std::string>& content) {
         std::optional<std::pair<std::size_t, synced_position>> latest;
         const std::string_view bytes = content ? std::string_view{*content} : std::string_view{};
-        for (std::size_t slot = 0; slot * slot_bytes < bytes.size(); ++slot) {
-            const auto scan = scan_records(bytes.substr(slot * slot_bytes, slot_bytes));
-            if (scan.records.empty()) {
+        for (const std::size_t slot : {0U, 1U}) {
+            const auto start = std::min(slot * slot_bytes, bytes.size());
+            const auto record = first_record(bytes.substr(start, slot_bytes));
+            if (!record) {
                 continue;
             }
-            const auto value = wire::decode<synced_position>(scan.records.front().payload);
+            const auto value = wire::decode<synced_position>(*record);
             if (value.ok() && (!latest || value->sequence > latest->second.sequence)) {
                 latest.emplace(slot, *value);
             }
