Damage synced logs in the random schedules

Guards against members with damaged logs that elect a leader without entries that they have confirmed, and against members that do not get the entries again. A disk is lost only while no log is damaged, and a cluster has recovered only when no log is. The faulty storage that takes the end of a damaged log for the last confirmed entry must be detected.

--- a/tests/hawthornstall/control/cluster_simulation.hpp
+++ b/tests/hawthornstall/control/cluster_simulation.hpp
@@ -8,6 +8,7 @@
 #include "hawthornstall/control/memory_storage.hpp"
 #include "hawthornstall/control/sample_edits.hpp"
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <memory>
@@ -24,14 +25,16 @@
     core::duration_ms recovery_phase{12'000}; ///< Time without faults afterwards.
     int drop_percent = 5;
     int duplicate_percent = 5;
-    int max_delay_steps = 6;          ///< Messages are reordered within this time.
-    int crash_per_mille = 4;          ///< Per host and step.
-    int partition_per_mille = 2;      ///< Per step: partitions the leader for up to 6 s.
-    int disk_loss_per_mille = 4;      ///< Per step, only while a majority would remain.
-    bool replaces_hosts = false;      ///< A host that loses its disk comes back as another host.
-    int resend_answered_percent = 20; ///< Edits resent although they were answered.
-    storage_faults storage{};         ///< Deliberate faults.
-    bool keeps_identity = false;      ///< Deliberate fault: a replaced disk keeps its identity.
+    int max_delay_steps = 6;           ///< Messages are reordered within this time.
+    int crash_per_mille = 4;           ///< Per host and step.
+    int partition_per_mille = 2;       ///< Per step: partitions the leader for up to 6 s.
+    int disk_loss_per_mille = 4;       ///< Per step, only while a majority would remain.
+    int log_damage_per_mille = 0;      ///< Per step, only while no entry is lost for good.
+    bool damages_several_logs = false; ///< Damages all logs but one at once.
+    bool replaces_hosts = false;       ///< A host that loses its disk comes back as another host.
+    int resend_answered_percent = 20;  ///< Edits resent although they were answered.
+    storage_faults storage{};          ///< Deliberate faults.
+    bool keeps_identity = false;       ///< Deliberate fault: a replaced disk keeps its identity.
 };
 
 /// Simulates the cluster with a seeded random schedule and records what it observes.
@@ -86,7 +89,8 @@
         const auto documents = hosts_[*leader].replica->store().snapshot();
         bool recovered = !documents.audit.empty() && failure_.ok();
         for (const auto& host : hosts_) {
-            recovered = recovered && host.replica->store().snapshot() == documents;
+            recovered = recovered && host.replica->store().snapshot() == documents &&
+                        !host.disk->has_lost_entries();
         }
         for (const auto& copy : copies_) {
             recovered =
@@ -98,6 +102,7 @@
     [[nodiscard]] const history& observed() const { return observed_; }
     [[nodiscard]] const absl::Status& failure() const { return failure_; }
     [[nodiscard]] std::size_t lost_disks() const { return lost_disks_; }
+    [[nodiscard]] std::size_t damaged_logs() const { return damaged_logs_; }
     [[nodiscard]] const std::vector<core::duration_ms>& apply_times() const { return apply_times_; }
 
 private:
@@ -234,6 +239,41 @@
             hosts_[index].disk->state.cluster_id = options_.keeps_identity ? cluster_id : 0;
             ++lost_disks_;
         }
+        if (options_.log_damage_per_mille > 0 && can_tolerate_disk_loss() &&
+            chance(options_.log_damage_per_mille, 1'000)) {
+            damage_logs();
+        }
+    }
+
+    /// Damages the log of one host or, of several, of all hosts but one that holds every entry
+    /// that another one may have confirmed.
+    void damage_logs() {
+        if (!options_.damages_several_logs) {
+            damage_log(hosts_[random_index(host_count)]);
+            return;
+        }
+        const auto& intact = *std::ranges::max_element(
+            hosts_, {}, [](const control_host& host) { return host.disk->log.last(); });
+        for (auto& host : hosts_) {
+            if (&host != &intact) {
+                damage_log(host);
+            }
+        }
+    }
+
+    /// Crashes a host, whose disk loses synced entries: any number of the latest ones, or
+    /// everything with the snapshot.
+    void damage_log(control_host& host) {
+        crash(host);
+        auto& disk = *host.disk;
+        const auto base = disk.log.base().index;
+        const auto count = disk.log.last().index - base;
+        if (count == 0 || chance(25, 100)) {
+            disk.lose_all_entries();
+        } else {
+            disk.lose_entries_after(base + random_index(count));
+        }
+        ++damaged_logs_;
     }
 
     void crash(control_host& host) {
@@ -241,8 +281,9 @@
         host.down_until = now_ + static_cast<int>(random_index(2'000)) * core::duration_ms{1};
     }
 
-    /// Whether all voters of the latest committed member set still have their disks, so that one
-    /// more loss leaves a majority. This holds again as soon as a repair is committed.
+    /// Whether all voters of the latest committed member set still have their disks with all
+    /// entries that they have confirmed, so that one more loss leaves a majority and a copy of each
+    /// committed entry. This holds again as soon as a repair is committed.
     [[nodiscard]] bool can_tolerate_disk_loss() const {
         std::uint64_t commit = 0;
         member_set members;
@@ -254,7 +295,8 @@
         }
         std::size_t alive = 0;
         for (const auto& host : hosts_) {
-            alive += is_voter(members, host.disk->state.self) ? 1 : 0;
+            const bool is_whole = !host.disk->has_lost_entries();
+            alive += is_whole && is_voter(members, host.disk->state.self) ? 1 : 0;
         }
         return members.voters.size() == host_count && alive == host_count;
     }
@@ -405,6 +447,7 @@
     std::uint64_t last_identity_ = 0;
     std::uint64_t last_edit_ = 0;
     std::size_t lost_disks_ = 0;
+    std::size_t damaged_logs_ = 0;
     history observed_;
     absl::Status failure_;
 };
--- a/tests/hawthornstall/control/memory_storage.hpp
+++ b/tests/hawthornstall/control/memory_storage.hpp
@@ -16,6 +16,8 @@
 struct storage_faults {
     bool ignores_sync = false; ///< Acknowledges entries that a crash loses.
     bool loses_votes = false;  ///< A crash loses term and vote.
+    /// Takes the end of a damaged log for the last acknowledged entry.
+    bool forgets_acknowledged = false;
 };
 
 /// State that survives a simulated crash.
@@ -36,6 +38,14 @@
         damaged.append(entries.first(kept));
         log = std::move(damaged);
     }
+
+    /// Loses the log and the snapshot.
+    void lose_all_entries() {
+        log = memory_log{};
+        snapshot = log_snapshot{};
+    }
+
+    [[nodiscard]] bool has_lost_entries() const { return log.last() < acknowledged; }
 };
 
 /// Storage on a simulated disk. A new storage on the same disk has the state after a crash.
@@ -47,7 +57,8 @@
     [[nodiscard]] const hard_state& state() const { return state_; }
     [[nodiscard]] const memory_log& log() const { return log_; }
     [[nodiscard]] log_position acknowledged() const {
-        return std::max(disk_->acknowledged, log_.last());
+        return disk_->faults.forgets_acknowledged ? log_.last()
+                                                  : std::max(disk_->acknowledged, log_.last());
     }
     [[nodiscard]] absl::StatusOr<log_snapshot> load_snapshot() const { return disk_->snapshot; }
 
--- a/tests/hawthornstall/control/random_schedule_test.cpp
+++ b/tests/hawthornstall/control/random_schedule_test.cpp
@@ -42,6 +42,21 @@
     simulation_options options;
 };
 
+const simulation_options damaged_logs{.drop_percent = 0,
+                                      .duplicate_percent = 0,
+                                      .crash_per_mille = 0,
+                                      .partition_per_mille = 0,
+                                      .disk_loss_per_mille = 0,
+                                      .log_damage_per_mille = 20};
+
+const simulation_options several_damaged_logs{.drop_percent = 0,
+                                              .duplicate_percent = 0,
+                                              .crash_per_mille = 0,
+                                              .partition_per_mille = 0,
+                                              .disk_loss_per_mille = 0,
+                                              .log_damage_per_mille = 20,
+                                              .damages_several_logs = true};
+
 const std::array schedules{
     schedule{"all faults combined", {}},
     schedule{"lossy network", {.drop_percent = 25, .duplicate_percent = 25}},
@@ -55,14 +70,21 @@
               .disk_loss_per_mille = 300,
               .replaces_hosts = true}},
     schedule{"all faults combined with replaced hosts", {.replaces_hosts = true}},
+    schedule{"damaged logs alone", damaged_logs},
+    schedule{"several damaged logs at once", several_damaged_logs},
+    schedule{"damaged logs with all other faults", {.log_damage_per_mille = 20}},
+    schedule{"several damaged logs at once with all other faults",
+             {.log_damage_per_mille = 20, .damages_several_logs = true}},
 };
 
 // Guards against edits that are lost, reverted or applied twice under combined faults, and against
-// a cluster that does not recover from the faults.
+// a cluster that does not recover from the faults. With damaged logs it guards against members
+// that elect a leader without the entries that they have confirmed and lost.
 TEST_CASE("invariants hold under random schedules") {
     for (const auto& schedule : schedules) {
         std::size_t answers = 0;
         std::size_t lost_disks = 0;
+        std::size_t damaged_logs = 0;
         for (std::uint64_t seed = 1; seed <= seed_count(); ++seed) {
             CAPTURE(schedule.name);
             CAPTURE(seed);
@@ -78,9 +100,13 @@
             }
             answers += simulation.observed().answers.size();
             lost_disks += simulation.lost_disks();
+            damaged_logs += simulation.damaged_logs();
         }
-        MESSAGE(schedule.name << ": " << answers << " answers, " << lost_disks << " lost disks");
+        MESSAGE(schedule.name << ": " << answers << " answers, " << lost_disks << " lost disks, "
+                              << damaged_logs << " damaged logs");
         CHECK(answers >= 10 * seed_count());
+        const bool damages_logs = schedule.options.log_damage_per_mille > 0;
+        CHECK(damaged_logs >= (damages_logs ? 2 * seed_count() : 0));
     }
 }
 
@@ -150,6 +176,11 @@
     return options;
 }
 
+simulation_options with_forgotten_entries(simulation_options options) {
+    options.storage.forgets_acknowledged = true;
+    return options;
+}
+
 // Guards against invariant checks that never report anything: each must detect the faulty variant
 // that violates its invariant.
 TEST_CASE("each invariant check detects a faulty variant") {
@@ -163,6 +194,18 @@
         faulty_variant{"acknowledges before syncing",
                        with_storage({.ignores_sync = true, .loses_votes = false}),
                        &check_accepted_kept, &first_faulty_seed<plain>},
+        faulty_variant{"a damaged member leads and votes as if its log were whole: entries",
+                       with_forgotten_entries({.log_damage_per_mille = 20}), &check_committed_agree,
+                       &first_faulty_seed<plain>},
+        faulty_variant{"a damaged member leads and votes as if its log were whole: edits",
+                       with_forgotten_entries({.log_damage_per_mille = 20}), &check_accepted_kept,
+                       &first_faulty_seed<plain>},
+        faulty_variant{"several damaged members lead and vote as if their logs were whole: entries",
+                       with_forgotten_entries(several_damaged_logs), &check_committed_agree,
+                       &first_faulty_seed<plain>},
+        faulty_variant{"several damaged members lead and vote as if their logs were whole: edits",
+                       with_forgotten_entries(several_damaged_logs), &check_accepted_kept,
+                       &first_faulty_seed<plain>},
         faulty_variant{"store without version check",
                        {},
                        &check_one_winner,
