Test elections and repair of members with damaged logs

Guards against a leader without committed entries, against a cluster that stays without a leader although one log is whole, against a log that is created again after all logs were damaged, and against a running leader that does not send lost entries again. One table lets the second holder of the entries be away, so that only a lagging and a damaged host are left.

--- a/tests/hawthornstall/control/consensus_node_test.cpp
+++ b/tests/hawthornstall/control/consensus_node_test.cpp
@@ -363,6 +363,209 @@
     CHECK(cluster.disks[host]->state.cluster_id == leader.storage().state().cluster_id);
 }
 
+enum class log_loss : std::uint8_t {
+    last_entry,
+    half,       ///< Half of the entries after the snapshot.
+    everything, ///< The log and the snapshot.
+};
+
+void lose_entries(memory_disk& disk, log_loss loss) {
+    const auto base = disk.log.base().index;
+    const auto last = disk.log.last().index;
+    REQUIRE(last >= base + 2);
+    switch (loss) {
+    case log_loss::last_entry:
+        return disk.lose_entries_after(last - 1);
+    case log_loss::half:
+        return disk.lose_entries_after(base + (last - base) / 2);
+    case log_loss::everything:
+        return disk.lose_all_entries();
+    }
+}
+
+struct damage_case {
+    std::string_view name;
+    std::vector<std::size_t> damaged; ///< Distances of the damaged hosts from the leader.
+    log_loss loss;
+};
+
+const std::array damage_cases{
+    damage_case{"the leader, last entry", {0}, log_loss::last_entry},
+    damage_case{"the leader, half", {0}, log_loss::half},
+    damage_case{"the leader, everything", {0}, log_loss::everything},
+    damage_case{"a follower, last entry", {1}, log_loss::last_entry},
+    damage_case{"a follower, half", {1}, log_loss::half},
+    damage_case{"a follower, everything", {1}, log_loss::everything},
+    damage_case{"the leader and a follower, last entry", {0, 1}, log_loss::last_entry},
+    damage_case{"the leader and a follower, half", {0, 1}, log_loss::half},
+    damage_case{"the leader and a follower, everything", {0, 1}, log_loss::everything},
+    damage_case{"both followers, last entry", {1, 2}, log_loss::last_entry},
+    damage_case{"both followers, half", {1, 2}, log_loss::half},
+    damage_case{"both followers, everything", {1, 2}, log_loss::everything},
+    damage_case{"all three, last entry", {0, 1, 2}, log_loss::last_entry},
+    damage_case{"all three, half", {0, 1, 2}, log_loss::half},
+    damage_case{"all three, everything", {0, 1, 2}, log_loss::everything},
+};
+
+/// Commits entries on all hosts, with a snapshot of the first ones on the leader if `compacts`.
+/// Returns the position of the last one.
+log_position commit_entries(small_cluster& cluster, bool compacts) {
+    constexpr int count = 8;
+    auto& leader = cluster.nodes[cluster.leader()];
+    log_position last;
+    for (int entry = 0; entry < count; ++entry) {
+        const auto position = leader.propose(make_edit(std::to_string(entry), 0));
+        REQUIRE(position.has_value());
+        last = *position;
+    }
+    cluster.run_for(core::duration_ms{1'000});
+    for (auto& node : cluster.nodes) {
+        REQUIRE(node.commit_index() == last.index);
+        if (compacts) {
+            node.compact(last.index - count / 2, store_snapshot{});
+        }
+    }
+    return last;
+}
+
+void check_all_hold(const small_cluster& cluster, const log_position& position) {
+    for (const auto& disk : cluster.disks) {
+        CAPTURE(disk->state.self.host);
+        CHECK(disk->log.term_at(position.index) == position.term);
+        CHECK_FALSE(disk->has_lost_entries());
+    }
+}
+
+void check_commits(small_cluster& cluster) {
+    auto& leader = cluster.nodes[cluster.leader()];
+    const auto position = leader.propose(make_edit("after the damage", 0));
+    REQUIRE(position.has_value());
+    cluster.run_for(2 * round_trip);
+    CHECK(leader.commit_index() >= position->index);
+}
+
+/// Whether any host leads at any step of `duration`.
+bool any_leads_within(small_cluster& cluster, core::duration_ms duration) {
+    bool leads = false;
+    for (const auto end = cluster.now + duration; cluster.now < end;) {
+        cluster.run_for(core::duration_ms{10});
+        leads = leads || std::ranges::any_of(cluster.nodes,
+                                             [](const auto& node) { return node.is_leader(); });
+    }
+    return leads;
+}
+
+// Guards against a leader without committed entries after logs were damaged, against a cluster that
+// stays without a leader although one log is whole, and against a log that is created again after
+// all were damaged.
+TEST_CASE("members with damaged logs elect only a leader that holds the committed entries") {
+    for (const bool compacts : {false, true}) {
+        for (const auto& test : damage_cases) {
+            CAPTURE(compacts);
+            CAPTURE(test.name);
+            small_cluster cluster{3};
+            cluster.run_for(join_time);
+            const auto committed = commit_entries(cluster, compacts);
+            const auto cluster_id = cluster.disks.front()->state.cluster_id;
+            const auto leader = cluster.leader();
+            for (const auto distance : test.damaged) {
+                lose_entries(*cluster.disks[(leader + distance) % 3], test.loss);
+            }
+            cluster.restart_all();
+            if (test.damaged.size() < 3) {
+                cluster.run_for(core::duration_ms{6'000});
+                check_all_hold(cluster, committed);
+                check_commits(cluster);
+                continue;
+            }
+            CHECK_FALSE(any_leads_within(cluster, core::duration_ms{30'000}));
+            for (const auto& disk : cluster.disks) {
+                CHECK(disk->state.cluster_id == cluster_id);
+                CHECK(disk->log.last() < committed);
+                CHECK(disk->acknowledged == committed);
+            }
+        }
+    }
+}
+
+struct minority_case {
+    std::string_view name;
+    log_loss loss;
+    bool is_leader_damaged; ///< Otherwise the follower that confirmed the entries.
+};
+
+// Guards against a leader without committed entries: of the two hosts that held them, one has lost
+// them and the other one is away, so that the third one or the damaged one could be elected.
+TEST_CASE("a damaged member and a lagging one elect no leader while the entries are away") {
+    constexpr std::array cases{
+        minority_case{"leader, last entry", log_loss::last_entry, true},
+        minority_case{"leader, half", log_loss::half, true},
+        minority_case{"leader, everything", log_loss::everything, true},
+        minority_case{"follower, last entry", log_loss::last_entry, false},
+        minority_case{"follower, half", log_loss::half, false},
+        minority_case{"follower, everything", log_loss::everything, false},
+    };
+    for (const bool compacts : {false, true}) {
+        for (const auto& test : cases) {
+            CAPTURE(compacts);
+            CAPTURE(test.name);
+            small_cluster cluster{3};
+            cluster.run_for(join_time);
+            commit_entries(cluster, compacts);
+            const auto leader = cluster.leader();
+            const auto follower = (leader + 1) % 3;
+            const auto lagging = (leader + 2) % 3;
+            cluster.partitioned[lagging] = true;
+            const auto position = cluster.nodes[leader].propose(make_edit("committed by two", 0));
+            REQUIRE(position.has_value());
+            cluster.run_for(2 * round_trip);
+            REQUIRE(cluster.nodes[leader].commit_index() == position->index);
+
+            const auto damaged = test.is_leader_damaged ? leader : follower;
+            const auto away = test.is_leader_damaged ? follower : leader;
+            lose_entries(*cluster.disks[damaged], test.loss);
+            cluster.partitioned[lagging] = false;
+            cluster.partitioned[away] = true;
+            cluster.restart_all();
+            CHECK_FALSE(any_leads_within(cluster, core::duration_ms{30'000}));
+
+            cluster.partitioned[away] = false;
+            cluster.run_for(core::duration_ms{6'000});
+            check_all_hold(cluster, *position);
+            check_commits(cluster);
+        }
+    }
+}
+
+// Guards against a leader that counts a follower's lost entries as still replicated and doesn't
+// send them again.
+TEST_CASE("a running leader sends the entries again that followers have lost") {
+    for (const bool compacts : {false, true}) {
+        for (const auto& test : damage_cases) {
+            if (std::ranges::find(test.damaged, 0U) != test.damaged.end()) {
+                continue; // The leader keeps running.
+            }
+            CAPTURE(compacts);
+            CAPTURE(test.name);
+            small_cluster cluster{3};
+            cluster.run_for(join_time);
+            const auto committed = commit_entries(cluster, compacts);
+            const auto leader = cluster.leader();
+            const auto term = cluster.nodes[leader].current_election().term();
+            for (const auto distance : test.damaged) {
+                const auto follower = (leader + distance) % 3;
+                lose_entries(*cluster.disks[follower], test.loss);
+                cluster.restart(follower);
+            }
+            cluster.run_for(core::duration_ms{2'000});
+            CHECK(cluster.leader() == leader);
+            CHECK(cluster.nodes[leader].current_election().term() == term);
+            check_all_hold(cluster, committed);
+            check_commits(cluster);
+        }
+    }
+}
+
 // Guards against changes that a leader commits alone while its cluster is created, and that are
 // lost with its disk.
 TEST_CASE("no change is accepted while a cluster of several hosts has one voter") {
