Say how the saved documents of an entry host are damaged

An entry host whose saved documents are damaged logs saved_documents_ignored with the folder and "the saved documents are damaged". The log does not tell a torn file from a flipped bit, and does not name the file.

The three checks of load_documents() shared one message. The reason now names the file, its size and the check that failed. save_documents() and load_documents() are templates over control::file_operations, so that the test loses power at each operation of three saves, with each kind of torn write.

--- a/src/hawthornstall/entry/document_cache.cpp
+++ b/src/hawthornstall/entry/document_cache.cpp
@@ -1,6 +1,5 @@
 #include "hawthornstall/entry/document_cache.hpp"
 
-#include "hawthornstall/control/data_files.hpp"
 #include "hawthornstall/control/document_layouts.hpp"
 #include "hawthornstall/core/error.hpp"
 #include "hawthornstall/wire/codec.hpp"
@@ -8,7 +7,6 @@
 #include <xxhash.h>
 
 #include <cstdint>
-#include <string_view>
 
 namespace hawthornstall::entry {
 
@@ -32,42 +30,44 @@
 namespace hawthornstall::entry {
 namespace detail {
 
-constexpr std::string_view file_name = "documents";
-
-absl::Status damaged(std::string_view folder) {
-    return core::make_error(absl::StatusCode::kDataLoss, {.step = "load_documents", .peer = folder},
-                            "the saved documents are damaged");
+absl::Status damaged(std::string_view path, std::string_view bytes, std::string_view problem) {
+    return core::make_error(absl::StatusCode::kDataLoss, {.step = "load_documents", .peer = path},
+                            "the saved documents are damaged: " + std::to_string(bytes.size()) +
+                                " bytes, " + std::string{problem});
 }
 
 } // namespace detail
 
-absl::Status save_documents(const std::string& folder, const control::config_delta& documents) {
+std::string encode_saved(const control::config_delta& documents) {
     saved_documents saved;
     saved.documents = wire::encode(documents);
     saved.checksum = XXH3_64bits(saved.documents.data(), saved.documents.size());
-    control::posix_files files;
-    return control::replace_file(files, folder, std::string{detail::file_name},
-                                 wire::encode(saved));
+    return wire::encode(saved);
 }
 
-absl::StatusOr<std::optional<control::config_delta>> load_documents(const std::string& folder) {
-    const auto bytes = control::posix_files::read(folder + '/' + std::string{detail::file_name});
-    if (!bytes.ok()) {
-        return bytes.status();
+absl::StatusOr<control::config_delta> decode_saved(std::string_view path, std::string_view bytes) {
+    const auto saved = wire::decode<saved_documents>(bytes);
+    if (!saved.ok()) {
+        return detail::damaged(path, bytes, core::describe(saved.status()));
     }
-    if (!bytes->has_value()) {
-        return std::optional<control::config_delta>{};
-    }
-    const auto saved = wire::decode<saved_documents>(**bytes);
-    if (!saved.ok() ||
-        saved->checksum != XXH3_64bits(saved->documents.data(), saved->documents.size())) {
-        return detail::damaged(folder);
+    if (saved->checksum != XXH3_64bits(saved->documents.data(), saved->documents.size())) {
+        return detail::damaged(path, bytes, "the checksum does not match");
     }
     auto documents = wire::decode<control::config_delta>(saved->documents);
     if (!documents.ok()) {
-        return detail::damaged(folder);
+        return detail::damaged(path, bytes, core::describe(documents.status()));
     }
-    return std::optional{*std::move(documents)};
+    return documents;
+}
+
+absl::Status save_documents(const std::string& folder, const control::config_delta& documents) {
+    control::posix_files files;
+    return save_documents(files, folder, documents);
+}
+
+absl::StatusOr<std::optional<control::config_delta>> load_documents(const std::string& folder) {
+    control::posix_files files;
+    return load_documents(files, folder);
 }
 
 } // namespace hawthornstall::entry
