Continue a start log whose last line was cut

A stand-in target that is killed while it writes a line, and is started again on the same log, makes check_starts refuse the whole log: "line cannot be read".

start_log::open() appended after the cut line, so that the next event became part of it. It now ends the cut line with a control character, which no field of an event can hold, and start_count ignores lines that are marked in this way. Unmarked lines that cannot be parsed are refused as before.

--- a/tests/tools/start_log_test.cpp
+++ b/tests/tools/start_log_test.cpp
@@ -29,6 +29,9 @@
         count_case{"same attempt", "start 1 a/0 1\nstart 1 b/0 1\nstart 9 a/0 1\n", true, 3, 1, 1},
         count_case{"another attempt", "start 1 a/0 1\nstart 2 a/0 2\n", true, 2, 1, 0},
         count_case{"truncated last line", "start 1 a/0 1\nstart 2 a/0", true, 1, 0, 0},
+        count_case{"marked line", "start 1 a/0 1\nstart 2\x18\nstart 3 b/0 1\n", true, 2, 0, 0},
+        count_case{"unmarked cut line", "start 2 a/0start 3 b/0 1\n", false, 0, 0, 0},
+        count_case{"control character", "start 1 a/0 1\x18 \n", false, 0, 0, 0},
         count_case{"damaged", "start 1 a/0\n", false, 0, 0, 0},
         count_case{"other event", "begin 1 a/0 1\n", false, 0, 0, 0},
         count_case{"five words", "start 1 a/0 1 x\n", false, 0, 0, 0},
@@ -67,5 +70,31 @@
     CHECK_FALSE(is_loggable({"a", ""}));
 }
 
+// Guards against a log that cannot be read because a target was killed while it wrote a line, and
+// was started again on the same log.
+TEST_CASE("a log that ends with a cut line can be continued") {
+    const auto path =
+        std::filesystem::temp_directory_path() /
+        ("start_log_cut_test." + std::to_string(core::to_count(core::ms_clock::now())));
+    const std::string whole = "start 5 z.1.1.k/0 1\n";
+    for (std::size_t length = 0; length <= whole.size(); ++length) {
+        CAPTURE(length);
+        std::ofstream{path, std::ios::binary | std::ios::trunc} << whole.substr(0, length);
+        for (const auto* const task : {"z.1.1.k/1", "z.1.1.k/2"}) {
+            const auto log = start_log::open(path.string());
+            REQUIRE(log.ok());
+            CHECK(log->write(task_event::start, core::from_count(7), {task, "1"}));
+        }
+        std::ifstream file{path, std::ios::binary};
+        const std::string text{std::istreambuf_iterator<char>{file},
+                               std::istreambuf_iterator<char>{}};
+        start_count count;
+        CHECK(count.add(text).ok());
+        CHECK(count.starts() == (length == whole.size() ? 3 : 2));
+        CHECK(count.violations(repeat_rule::refuse_repeats).empty());
+    }
+    std::filesystem::remove(path);
+}
+
 } // namespace
 } // namespace hawthornstall::tools
--- a/tools/common/start_log.cpp
+++ b/tools/common/start_log.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 #include <utility>
 
@@ -33,6 +34,23 @@
     return fields;
 }
 
+/// Ends a line that was cut when the writing process was killed. No field holds a control
+/// character, so the mark cannot be the end of an event.
+constexpr std::string_view cut_mark = "\x18\n";
+
+/// Whether the file ends with a line without a line break.
+bool ends_with_cut_line(int descriptor) {
+    struct stat info {};
+    char last = '\n';
+    return fstat(descriptor, &info) == 0 && S_ISREG(info.st_mode) && info.st_size > 0 &&
+           pread(descriptor, &last, 1, info.st_size - 1) == 1 && last != '\n';
+}
+
+absl::Status open_error(const std::string& path) {
+    return core::make_error(absl::StatusCode::kUnavailable, {.step = "open_start_log", .peer = {}},
+                            path + ": " + std::strerror(errno));
+}
+
 } // namespace detail
 
 bool is_loggable(const task_start& start) {
@@ -44,14 +62,16 @@
         return start_log{-1};
     }
     constexpr mode_t file_mode = 0644;
-    const int descriptor =
-        ::open(path.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, file_mode);
-    if (descriptor < 0) {
-        return core::make_error(absl::StatusCode::kUnavailable,
-                                {.step = "open_start_log", .peer = {}},
-                                path + ": " + std::strerror(errno));
+    start_log log{::open(path.c_str(), O_RDWR | O_APPEND | O_CREAT | O_CLOEXEC, file_mode)};
+    if (log.descriptor_ < 0) {
+        return detail::open_error(path);
+    }
+    if (detail::ends_with_cut_line(log.descriptor_) &&
+        ::write(log.descriptor_, detail::cut_mark.data(), detail::cut_mark.size()) !=
+            static_cast<ssize_t>(detail::cut_mark.size())) {
+        return detail::open_error(path);
     }
-    return start_log{descriptor};
+    return log;
 }
 
 start_log::~start_log() {
@@ -80,6 +100,10 @@
 
 absl::Status start_count::add(std::string_view log) {
     for (auto end = log.find('\n'); end != std::string_view::npos; end = log.find('\n')) {
+        if (log.substr(0, end + 1).ends_with(detail::cut_mark)) {
+            log.remove_prefix(end + 1);
+            continue;
+        }
         if (auto added = add_line(log.substr(0, end)); !added.ok()) {
             return added;
         }
--- a/tools/common/start_log.hpp
+++ b/tools/common/start_log.hpp
@@ -3,6 +3,7 @@
 /// Log of task starts and ends that stand-in targets write and check_starts reads.
 ///
 /// One line per event: `start <wall ms> <task> <attempt>` or `end <wall ms> <task> <attempt>`.
+/// A line that ends with the control character 0x18 was cut when the process was killed.
 
 #include "hawthornstall/core/ms_clock.hpp"
 
@@ -36,7 +37,8 @@
 /// process is killed.
 class start_log {
 public:
-    /// Opens `path` for appending. With an empty path, events are discarded.
+    /// Opens `path` for appending, and marks a last line that was cut. With an empty path, events
+    /// are discarded.
     [[nodiscard]] static absl::StatusOr<start_log> open(const std::string& path);
 
     ~start_log();
@@ -61,8 +63,9 @@
 /// Counts task starts over the logs of all targets and finds tasks that started too often.
 class start_count {
 public:
-    /// Adds the lines of one log. The error names the first line that cannot be parsed. A last line
-    /// without a line break is ignored, since it was cut when the process was killed.
+    /// Adds the lines of one log. The error names the first line that cannot be parsed. A line that
+    /// is marked as cut is ignored, and so is a last line without a line break: the process was
+    /// killed before it had written the whole line, and so before it answered.
     [[nodiscard]] absl::Status add(std::string_view log);
 
     /// Returns one line for each task that started more often than `rule` allows.
