Replace a file without writing through a leftover temporary name

Callers saw: nothing yet; found while the other readers of such files were looked at. Cause: a loss of power can keep the new name of a replaced file and its temporary name too, since names become durable one by one. The next replacement then truncated and wrote the live file through the temporary name, and a second loss of power could tear it. A torn state file is a lost vote; torn documents of an entry host are lost, old and new. Change: replace_file removes the temporary name first, so that it always creates a new file. Tests: two losses of power in a row while the state, and the documents of an entry host, are replaced.

--- a/src/hawthornstall/control/data_files.cpp
+++ b/src/hawthornstall/control/data_files.cpp
@@ -117,6 +117,11 @@
                                                       : detail::io_error("replace_file", to);
 }
 
+absl::Status posix_files::remove(const std::string& path) {
+    return ::unlink(path.c_str()) == 0 || errno == ENOENT ? absl::OkStatus()
+                                                          : detail::io_error("remove_file", path);
+}
+
 absl::Status posix_files::sync_folder(const std::string& folder) {
     const auto opened = detail::open_with(folder, O_RDONLY | O_DIRECTORY);
     if (!opened.ok()) {
--- a/src/hawthornstall/control/data_files.hpp
+++ b/src/hawthornstall/control/data_files.hpp
@@ -42,6 +42,7 @@
 /// - `truncate(file, size)`: not durable before the next sync().
 /// - `sync(file)`: makes the content of the file, and the entry of a new one, durable.
 /// - `rename(from, to)`: not durable before the next sync_folder().
+/// - `remove(path)`: removes the name, if there is one; not durable before the next sync_folder().
 /// - `sync_folder(folder)`: makes the entries of the folder durable.
 template <class Files>
 concept file_operations = std::movable<typename Files::file> &&
@@ -55,6 +56,7 @@
     { files.truncate(file, offset) } -> std::same_as<absl::Status>;
     { files.sync(file) } -> std::same_as<absl::Status>;
     { files.rename(path, path) } -> std::same_as<absl::Status>;
+    { files.remove(path) } -> std::same_as<absl::Status>;
     { files.sync_folder(path) } -> std::same_as<absl::Status>;
 };
 
@@ -71,6 +73,7 @@
     [[nodiscard]] static absl::Status truncate(const file& file, std::uint64_t size);
     [[nodiscard]] static absl::Status sync(const file& file);
     [[nodiscard]] static absl::Status rename(const std::string& from, const std::string& to);
+    [[nodiscard]] static absl::Status remove(const std::string& path);
     [[nodiscard]] static absl::Status sync_folder(const std::string& folder);
 };
 
@@ -92,6 +95,11 @@
                                         const std::string& name, std::string_view bytes) {
     const std::string path = folder + '/' + name;
     const std::string temporary = path + ".new";
+    // After a loss of power during an earlier replacement both names may name the same file, and
+    // creating the temporary one again would truncate it.
+    if (auto removed = files.remove(temporary); !removed.ok()) {
+        return removed;
+    }
     {
         const auto file = files.create(temporary);
         if (!file.ok()) {
--- a/tests/hawthornstall/control/simulated_disk.hpp
+++ b/tests/hawthornstall/control/simulated_disk.hpp
@@ -274,6 +274,9 @@
             disk->set_name(from, nullptr);
         });
     }
+    [[nodiscard]] absl::Status remove(const std::string& path) const {
+        return disk->carry_out([&] { disk->set_name(path, nullptr); });
+    }
     [[nodiscard]] absl::Status sync_folder(const std::string& /*folder*/) const {
         return disk->carry_out([&] { disk->sync_names(); });
     }
--- a/tests/hawthornstall/entry/document_cache_test.cpp
+++ b/tests/hawthornstall/entry/document_cache_test.cpp
@@ -209,6 +209,26 @@
     });
 }
 
+// Guards against a second loss of power before the folder has been synced again. The first one may
+// have kept the new name of a file and the temporary one too, so that both name the same file.
+TEST_CASE("a second loss of power leaves the old or the new documents") {
+    for_each_loss([](const fault_case& loss, const torn_case& torn, unsigned seed) {
+        constexpr std::size_t operations = 18; // Of three saves.
+        for (std::size_t first = 1; first <= operations; ++first) {
+            for (std::size_t second = 1; second <= operations; ++second) {
+                CAPTURE(first);
+                CAPTURE(second);
+                restarting_host host{seed};
+                for (const auto operation : {first, second}) {
+                    host.save_until(loss, operation, 3);
+                    host.restart(torn.extent);
+                    host.check_loaded();
+                }
+            }
+        }
+    });
+}
+
 struct tear_case {
     std::string_view name;
     std::string old; ///< Content of the file before the write.
--- a/tests/hawthornstall/torn_writes/torn_writes_test.cpp
+++ b/tests/hawthornstall/torn_writes/torn_writes_test.cpp
@@ -95,5 +95,46 @@
     }
 }
 
+// Guards against a second loss of power before the folder has been synced again. The first one may
+// have kept the new name of the state file and the temporary one too, so that both name the same
+// file. A damaged state file is a lost vote.
+TEST_CASE("a second loss of power while the state is replaced is not taken for damage") {
+    constexpr std::size_t operations = 12; // Of two votes.
+    for (const auto& torn : torn_cases) {
+        for (unsigned seed = 0; seed < seeds; ++seed) {
+            for (std::size_t first = 1; first <= operations; ++first) {
+                for (std::size_t second = 1; second <= operations; ++second) {
+                    CAPTURE(torn.name);
+                    CAPTURE(seed);
+                    CAPTURE(first);
+                    CAPTURE(second);
+                    std::mt19937 random{seed};
+                    simulated_disk disk;
+                    {
+                        auto created = open_simulated(disk);
+                        REQUIRE(created.ok());
+                        REQUIRE(create_cluster(*created, 9).ok());
+                    }
+                    std::uint64_t term = 1;
+                    for (const auto operation : {first, second}) {
+                        auto opened = open_simulated(disk);
+                        INFO(opened.status().ToString());
+                        REQUIRE(opened.ok());
+                        storage_user user{*opened};
+                        disk.set_fault(disk_fault::power_lost_after, operation);
+                        while (user.vote(++term)) {
+                        }
+                        disk.restart(random, std::span{&torn.extent, 1});
+                        const auto found = open_simulated(disk);
+                        INFO(found.status().ToString());
+                        REQUIRE(found.ok());
+                        CHECK(holds(*found, user.confirmed()));
+                    }
+                }
+            }
+        }
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::control
