Test that a loss is reported until the log reaches the acknowledged position

Term and vote are compared each time. Entries of several pages are a new row of the work cases, and no torn write may be reported as a loss of entries.

--- a/tests/hawthornstall/control/storage_user.hpp
+++ b/tests/hawthornstall/control/storage_user.hpp
@@ -11,8 +11,10 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace hawthornstall::control {
@@ -30,6 +32,15 @@
     return {{term, index}, make_edit("edit-" + std::to_string(index), index)};
 }
 
+/// An entry that takes more than two pages of the log file.
+inline log_entry make_large_entry(std::uint64_t term, std::uint64_t index) {
+    constexpr std::size_t bytes = 9000;
+    auto entry = make_entry(term, index);
+    std::get<edit_command>(entry.payload).actor =
+        std::string(bytes, static_cast<char>('a' + index % 26));
+    return entry;
+}
+
 /// What the storage has confirmed, and so may not lose.
 struct confirmed_state {
     hard_state state{};
@@ -53,17 +64,19 @@
 
     /// Appends in `batches` calls, with one sync after the last.
     [[nodiscard]] bool append(std::uint64_t term, std::uint64_t first, std::uint64_t batches) {
-        // A leader's entry that replaces another was never confirmed by a majority.
-        std::erase_if(confirmed_.entries,
-                      [&](const log_entry& entry) { return entry.position.index >= first; });
-        for (std::uint64_t batch = 0; batch < batches; ++batch) {
-            const std::vector entries{make_entry(term, first + 2 * batch),
-                                      make_entry(term, first + 2 * batch + 1)};
-            if (!storage_->append(entries).ok()) {
-                return false;
-            }
-        }
-        return storage_->sync().ok() && confirm();
+        return append_made_by(make_entry, term, first, batches);
+    }
+
+    /// As append(), with entries that take more than two pages each.
+    [[nodiscard]] bool append_large(std::uint64_t term, std::uint64_t first,
+                                    std::uint64_t batches) {
+        return append_made_by(make_large_entry, term, first, batches);
+    }
+
+    /// Appends one entry and syncs it.
+    [[nodiscard]] bool append_one(const log_entry& entry) {
+        erase_confirmed_from(entry.position.index);
+        return storage_->append(std::span{&entry, 1}).ok() && storage_->sync().ok() && confirm();
     }
 
     [[nodiscard]] bool install(std::uint64_t term, std::uint64_t index) {
@@ -74,6 +87,26 @@
     }
 
 private:
+    template <class Make>
+    bool append_made_by(const Make& make, std::uint64_t term, std::uint64_t first,
+                        std::uint64_t batches) {
+        erase_confirmed_from(first);
+        for (std::uint64_t batch = 0; batch < batches; ++batch) {
+            const std::vector entries{make(term, first + 2 * batch),
+                                      make(term, first + 2 * batch + 1)};
+            if (!storage_->append(entries).ok()) {
+                return false;
+            }
+        }
+        return storage_->sync().ok() && confirm();
+    }
+
+    /// A leader's entry that replaces another was never confirmed by a majority.
+    void erase_confirmed_from(std::uint64_t first) {
+        std::erase_if(confirmed_.entries,
+                      [&](const log_entry& entry) { return entry.position.index >= first; });
+    }
+
     bool confirm() {
         const auto kept = storage_->log().entries_from(storage_->log().base().index + 1);
         confirmed_ = {.state = storage_->state(),
@@ -130,6 +163,11 @@
               [](storage_user& user) {
                   return user.append(1, 2, 2) && user.install(2, 9) && user.append(2, 10, 1);
               }},
+    work_case{"entries of several pages",
+              [](storage_user& user) {
+                  return user.append(1, 2, 1) && user.append_large(1, 4, 2) &&
+                         user.append_large(2, 5, 1) && user.append(2, 7, 1);
+              }},
 };
 
 } // namespace hawthornstall::control
--- a/tests/hawthornstall/torn_writes/torn_writes_test.cpp
+++ b/tests/hawthornstall/torn_writes/torn_writes_test.cpp
@@ -2,9 +2,14 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <random>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace hawthornstall::control {
@@ -27,8 +32,43 @@
 
 constexpr unsigned seeds = 12;
 
+/// Makes a new member one of a cluster.
+bool join_cluster(simulated_storage& storage) {
+    auto state = storage.state();
+    state.cluster_id = 9;
+    state.term = 1;
+    return storage.save_state(state).ok();
+}
+
+struct start_case {
+    std::string_view name;
+    bool (*start)(simulated_storage&);
+};
+
+constexpr std::array start_cases{
+    start_case{"a member that creates the cluster",
+               [](simulated_storage& storage) {
+                   return create_cluster(storage, 9).ok();
+               }},
+    start_case{"a member that joins the cluster with an empty log", join_cluster},
+};
+
+/// Checks that `disk` holds a whole folder with all that was confirmed.
+void check_found(simulated_disk& disk, const confirmed_state& confirmed) {
+    const auto found = open_simulated(disk);
+    INFO(found.status().ToString());
+    CHECK(found.ok());
+    if (!found.ok()) {
+        return;
+    }
+    CHECK(found->state().self.storage_id == sample_storage_id);
+    CHECK(holds(*found, confirmed));
+    CHECK_FALSE(found->has_lost_entries());
+}
+
 /// Loses the power at each operation of `work` in turn, and checks what is found afterwards.
-void check_power_loss(const work_case& work, write_extent extent, unsigned seed) {
+void check_power_loss(const start_case& start, const work_case& work, write_extent extent,
+                      unsigned seed) {
     bool completed = false;
     for (std::size_t operation = 1; !completed; ++operation) {
         CAPTURE(operation);
@@ -36,19 +76,12 @@
         simulated_disk disk;
         auto first = open_simulated(disk);
         REQUIRE(first.ok());
-        REQUIRE(create_cluster(*first, 9).ok());
+        REQUIRE(start.start(*first));
         storage_user user{*first};
         disk.set_fault(disk_fault::power_lost_after, operation);
         completed = work.work(user);
         disk.restart(random, std::span{&extent, 1});
-        const auto found = open_simulated(disk);
-        INFO(found.status().ToString());
-        CHECK(found.ok());
-        if (!found.ok()) {
-            continue;
-        }
-        CHECK(found->state().self.storage_id == sample_storage_id);
-        CHECK(holds(*found, user.confirmed()));
+        check_found(disk, user.confirmed());
     }
 }
 
@@ -62,7 +95,7 @@
                 CAPTURE(torn.name);
                 CAPTURE(work.name);
                 CAPTURE(seed);
-                check_power_loss(work, torn.extent, seed);
+                check_power_loss(start_cases.front(), work, torn.extent, seed);
             }
         }
     }
@@ -95,5 +128,243 @@
     }
 }
 
+/// A random number in [first, last].
+std::uint64_t draw(std::mt19937& random, std::uint64_t first, std::uint64_t last) {
+    return std::uniform_int_distribution<std::uint64_t>{first, last}(random);
+}
+
+void flip_byte(simulated_disk& disk, std::string_view name, std::mt19937& random) {
+    const auto file = disk.find(simulated_folder + '/' + std::string{name});
+    REQUIRE(file != nullptr);
+    REQUIRE_FALSE(file->content.empty());
+    auto& byte = file->content[draw(random, 0, file->content.size() - 1)];
+    byte = static_cast<char>(byte ^ (1 << draw(random, 0, 7)));
+    disk.sync(file);
+}
+
+void remove_file(simulated_disk& disk, std::string_view name) {
+    disk.set_name(simulated_folder + '/' + std::string{name}, nullptr);
+    disk.sync_names();
+}
+
+struct damage_case {
+    std::string_view name;
+    bool loses_position; ///< Nothing tells afterwards up to where the log was synced.
+    void (*damage)(simulated_disk&, std::mt19937&);
+};
+
+constexpr std::array damage_cases{
+    damage_case{"a flipped bit of the log", false,
+                [](simulated_disk& disk, std::mt19937& random) {
+                    flip_byte(disk, "log", random);
+                }},
+    damage_case{"a flipped bit of the snapshot", false,
+                [](simulated_disk& disk, std::mt19937& random) {
+                    flip_byte(disk, "snapshot", random);
+                }},
+    damage_case{"a missing log", false,
+                [](simulated_disk& disk, std::mt19937& /*random*/) {
+                    remove_file(disk, "log");
+                }},
+    damage_case{"a flipped bit of the log and no synced position", true,
+                [](simulated_disk& disk, std::mt19937& random) {
+                    flip_byte(disk, "log", random);
+                    remove_file(disk, "synced");
+                }},
+    damage_case{"a flipped bit of the snapshot and no synced position", true,
+                [](simulated_disk& disk, std::mt19937& random) {
+                    flip_byte(disk, "snapshot", random);
+                    remove_file(disk, "synced");
+                }},
+};
+
+/// What a member had before the damage.
+struct whole_state {
+    hard_state state{};
+    log_position last{}; ///< After all entries of the member's terms when its position is lost.
+};
+
+/// Works on a new folder until a loss of power.
+void work_until_loss(simulated_disk& disk, unsigned seed, std::mt19937& random) {
+    auto storage = open_simulated(disk);
+    REQUIRE((storage.ok() && create_cluster(*storage, 9).ok()));
+    storage_user user{*storage};
+    REQUIRE((user.append(1, 2, 2) && (seed % 2 == 0 || user.install(1, 3)) && user.vote(2)));
+    disk.set_fault(disk_fault::power_lost_after, 1 + seed / 2 % 3);
+    CHECK_FALSE((user.append(2, 6, 1) && user.append(2, 8, 1)));
+    disk.restart(random);
+}
+
+/// Damages a folder after a loss of power and a start without a fault.
+whole_state make_damaged(simulated_disk& disk, const damage_case& damage, unsigned seed,
+                         std::mt19937& random) {
+    work_until_loss(disk, seed, random);
+    const auto storage = open_simulated(disk);
+    REQUIRE((storage.ok() && !storage->has_lost_entries()));
+    damage.damage(disk, random);
+    const log_position unknown{storage->state().term, std::numeric_limits<std::uint64_t>::max()};
+    return {.state = storage->state(),
+            .last = damage.loses_position ? unknown : storage->log().last()};
+}
+
+/// Opens the folder and checks that it reports the loss, and has kept the vote.
+void check_reported(simulated_disk& disk, const whole_state& whole) {
+    const auto found = open_simulated(disk);
+    INFO(found.status().ToString());
+    REQUIRE(found.ok());
+    CHECK(found->has_lost_entries());
+    CHECK(found->acknowledged() == whole.last);
+    CHECK(found->state() == whole.state);
+}
+
+void lose_power(simulated_disk& disk, std::mt19937& random) {
+    disk.set_fault(disk_fault::power_lost_before, 1);
+    CHECK_FALSE(open_simulated(disk).ok());
+    disk.restart(random);
+}
+
+struct repair_fault {
+    std::string_view name;
+    disk_fault fault;
+    unsigned seeds;
+};
+
+constexpr std::array repair_faults{
+    repair_fault{"the operation fails", disk_fault::fails, 12},
+    repair_fault{"the operation fails halfway", disk_fault::fails_halfway, 12},
+    repair_fault{"power is lost before it", disk_fault::power_lost_before, 24},
+    repair_fault{"power is lost after it", disk_fault::power_lost_after, 24},
+    repair_fault{"power and all that is not synced are lost", disk_fault::power_lost_unsynced, 12},
+};
+
+// Guards against a repair of a damaged folder that, interrupted, hides the loss: the member would
+// vote as if it had never confirmed the lost entries.
+TEST_CASE("a fault at any operation of a repair does not hide the loss") {
+    for (const auto& damage : damage_cases) {
+        for (const auto& fault : repair_faults) {
+            for (unsigned seed = 0; seed < fault.seeds; ++seed) {
+                bool is_reached = true;
+                for (std::size_t operation = 1; is_reached; ++operation) {
+                    CAPTURE(damage.name);
+                    CAPTURE(fault.name);
+                    CAPTURE(seed);
+                    CAPTURE(operation);
+                    std::mt19937 random{seed};
+                    simulated_disk disk;
+                    const auto whole = make_damaged(disk, damage, seed, random);
+                    disk.set_fault(fault.fault, operation);
+                    open_simulated(disk).status().IgnoreError();
+                    is_reached = disk.operations() >= operation;
+                    disk.restart(random);
+                    check_reported(disk, whole);
+                    check_reported(disk, whole);
+                    lose_power(disk, random);
+                    check_reported(disk, whole);
+                }
+            }
+        }
+    }
+}
+
+/// Appends the entries of the whole log that are missing, one by one.
+bool append_missing(storage_user& user, const simulated_storage& storage,
+                    const whole_state& whole) {
+    while (storage.log().last() < whole.last) {
+        const auto index = storage.log().last().index + 1;
+        const std::uint64_t term = index < 6 ? 1 : 2;
+        CHECK(storage.has_lost_entries());
+        if (!user.append_one(make_entry(term, index))) {
+            return false;
+        }
+        CHECK(storage.acknowledged() == whole.last);
+    }
+    return true;
+}
+
+struct refill_case {
+    std::string_view name;
+    bool needs_position; ///< Ends at a known position.
+    /// Brings the log to the position that was acknowledged. False at the first failed call.
+    bool (*refill)(storage_user&, const simulated_storage&, const whole_state&);
+};
+
+constexpr std::array refill_cases{
+    refill_case{"the missing entries", true, append_missing},
+    refill_case{
+        "entries of a later term that replace the last one", false,
+        [](storage_user& user, const simulated_storage& storage, const whole_state& /*whole*/) {
+            const auto& log = storage.log();
+            const auto first = std::max(log.base().index + 1, log.last().index);
+            return user.append_one(make_entry(3, first)) &&
+                   user.append_one(make_entry(3, first + 1));
+        }},
+    refill_case{"a snapshot before the acknowledged position, then the missing entries", true,
+                [](storage_user& user, const simulated_storage& storage, const whole_state& whole) {
+                    return user.install(1, 4) && append_missing(user, storage, whole);
+                }},
+    refill_case{
+        "a snapshot after the acknowledged position, then an entry", true,
+        [](storage_user& user, const simulated_storage& /*storage*/, const whole_state& /*whole*/) {
+            return user.install(2, 9) && user.append_one(make_entry(2, 10));
+        }},
+};
+
+/// Checks what is found after a loss of power during a refill, or after a complete one.
+void check_refilled(simulated_disk& disk, const whole_state& whole,
+                    const confirmed_state& confirmed, bool completed) {
+    const auto found = open_simulated(disk);
+    REQUIRE(found.ok());
+    const auto last = found->log().last();
+    CHECK((found->state() == whole.state && holds(*found, confirmed)));
+    CHECK(found->has_lost_entries() == (last < whole.last));
+    CHECK(found->acknowledged() == std::max(last, whole.last));
+    CHECK((!completed || !found->has_lost_entries()));
+}
+
+/// Loses power at `operation` of the refill. Returns whether the refill has reached it.
+bool check_refill(const damage_case& damage, const refill_case& refill, unsigned seed,
+                  std::size_t operation) {
+    constexpr int restarts = 3;
+    std::mt19937 random{seed};
+    simulated_disk disk;
+    const auto whole = make_damaged(disk, damage, seed, random);
+    auto storage = open_simulated(disk);
+    REQUIRE((storage.ok() && storage->has_lost_entries()));
+    storage_user user{*storage};
+    disk.set_fault(disk_fault::power_lost_after, operation);
+    const bool completed = refill.refill(user, *storage, whole);
+    CHECK((!completed || !storage->has_lost_entries()));
+    disk.restart(random);
+    for (int restart = 0; restart < restarts; ++restart) {
+        CAPTURE(restart);
+        check_refilled(disk, whole, user.confirmed(), completed);
+        lose_power(disk, random);
+    }
+    return !completed;
+}
+
+// Guards against a loss that is no longer reported before the log has reached the acknowledged
+// position again, and against one that is reported for ever.
+TEST_CASE("a loss is reported until the synced log reaches the acknowledged position") {
+    constexpr unsigned refill_seeds = 24;
+    for (const auto& damage : damage_cases) {
+        for (const auto& refill : refill_cases) {
+            if (damage.loses_position && refill.needs_position) {
+                continue;
+            }
+            for (unsigned seed = 0; seed < refill_seeds; ++seed) {
+                bool is_reached = true;
+                for (std::size_t operation = 1; is_reached; ++operation) {
+                    CAPTURE(damage.name);
+                    CAPTURE(refill.name);
+                    CAPTURE(seed);
+                    CAPTURE(operation);
+                    is_reached = check_refill(damage, refill, seed, operation);
+                }
+            }
+        }
+    }
+}
+
 } // namespace
 } // namespace hawthornstall::control
