Write the synced position of a folder before its first entries

Callers saw: nothing yet; found by torn_writes_test. Change: creating a folder, and opening one without a position, writes the position durably. The bound of what an earlier version's folder may have confirmed is again all entries of the member's terms: the room left in the log file says nothing about a gap between the files.

--- a/src/hawthornstall/control/detail/file_storage_impl.hpp
+++ b/src/hawthornstall/control/detail/file_storage_impl.hpp
@@ -99,7 +99,13 @@
                              .cluster_id = 0,
                              .term = 0,
                              .voted_for = std::nullopt});
-    return saved.ok() ? open_synced(std::nullopt) : saved;
+    if (!saved.ok()) {
+        return saved;
+    }
+    if (auto opened = open_synced(std::nullopt); !opened.ok()) {
+        return opened;
+    }
+    return synced_file_.write_synced(files_, synced_);
 }
 
 template <file_operations Files>
@@ -148,7 +154,12 @@
     if (auto repaired = repair_files(recovered, log_file_bytes); !repaired.ok()) {
         return repaired;
     }
-    return raise_synced();
+    if (recovered.is_synced_known) {
+        return raise_synced();
+    }
+    // Without a position in the file, a torn write of the first entries would look like damage.
+    synced_ = acknowledged();
+    return synced_file_.write_synced(files_, synced_);
 }
 
 /// Makes the files hold the recovered log and nothing else.
--- a/src/hawthornstall/control/log_recovery.cpp
+++ b/src/hawthornstall/control/log_recovery.cpp
@@ -104,16 +104,11 @@
 
 /// Last entry that a member with a damaged log can have confirmed, as far as its files tell. The
 /// synced position may be an earlier one than the member has confirmed.
-log_position confirmed_position(const log_files& files, const recovered_log& recovered) {
-    const auto log = files.log.value_or("");
+log_position confirmed_position(const log_files& files) {
     if (files.synced && files.log) {
-        return std::max(*files.synced, last_whole_entry(log));
+        return std::max(*files.synced, last_whole_entry(*files.log));
     }
-    if (!recovered.has_snapshot || !files.log) {
-        return {.term = files.term, .index = std::numeric_limits<std::uint64_t>::max()};
-    }
-    const auto unread = log.size() - recovered.valid_bytes;
-    return {.term = files.term, .index = recovered.last().index + unread / min_record_bytes};
+    return {.term = files.term, .index = std::numeric_limits<std::uint64_t>::max()};
 }
 
 std::string describe(const log_position& position) {
@@ -139,9 +134,10 @@
     } else if (recovered.has_snapshot) {
         recovered.problem = "the log file is missing";
     }
+    recovered.is_synced_known = files.synced.has_value();
     recovered.acknowledged = files.synced.value_or(recovered.last());
     if (is_altered || recovered.is_damaged()) {
-        recovered.acknowledged = detail::confirmed_position(files, recovered);
+        recovered.acknowledged = detail::confirmed_position(files);
     }
     if (recovered.is_damaged()) {
         recovered.problem += (recovered.problem.empty() ? "" : "; ") +
--- a/src/hawthornstall/control/log_recovery.hpp
+++ b/src/hawthornstall/control/log_recovery.hpp
@@ -29,6 +29,7 @@
     std::vector<std::uint64_t> record_offsets; ///< Of `entries` in the log file.
     std::uint64_t valid_bytes = 0;             ///< Of the log file; the others are not used.
     bool has_snapshot = false;                 ///< The snapshot file is present and whole.
+    bool is_synced_known = false;              ///< The files tell the synced position.
     /// The first `valid_bytes` of the log file hold exactly `entries`.
     bool matches_file = false;
     /// Last entry that the member may have confirmed to others. After last() if it is damaged.
@@ -47,11 +48,11 @@
 /// Bytes after the synced position are those of a write that a loss of power has interrupted. They
 /// can be of any content, and are dropped from the first record on that is not whole. A record that
 /// is not whole at or before the synced position, a missing file, a damaged snapshot and a gap
-/// between the files are damage. `acknowledged` is then the last position that any file shows.
+/// between the files are damage. `acknowledged` is then the last position that the files show.
 ///
 /// Without a synced position, as in the folders of earlier versions, a record that is not whole is
-/// damage unless it ends as described at append_record(). `acknowledged` is then after all entries
-/// that the log file has room for, or after all entries of the member's terms.
+/// damage unless it ends as described at append_record(). Then, and without the log file,
+/// `acknowledged` is after all entries of the member's terms.
 [[nodiscard]] recovered_log recover_log(const log_files& files);
 
 } // namespace hawthornstall::control
