review: limit the time of the scripts of cases 12 to 15

Cause: waits for answers that do not come could add up to more than 120 s. Change: each script runs under a limit of 100 s, after which it ends its processes and exits with 2.

--- a/review/harness-3/common.bash
+++ b/review/harness-3/common.bash
@@ -7,6 +7,15 @@
 # A script calls run_case FUNCTION at its end. FUNCTION returns 1 if the rule was broken and 0 if it
 # held; the script exits with 2 if the case could not run.
 
+# The script runs itself again under a time limit, after which it counts as a case that could not run.
+if [ -z "${REVIEW_TIMED:-}" ]; then
+    REVIEW_TIMED=1 timeout --signal=TERM --kill-after=15 100 "$0"
+    status=$?
+    [ "$status" -le 2 ] || status=2
+    exit "$status"
+fi
+trap 'exit 2' TERM
+
 here=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
 cd "$here/../.." || exit 2
 TROUBLE=${TROUBLE:-1}
